--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,147 @@
+package config
+
+import "time"
+
+// Version numbers published documents. Versions only grow; 0 means none.
+type Version uint64
+
+// Document is one complete configuration: inventory and rules.
+type Document struct {
+	Version   Version   `yaml:"-"`
+	Inventory Inventory `yaml:"inventory"`
+	Rules     Rules     `yaml:"rules"`
+}
+
+// Inventory lists what exists.
+type Inventory struct {
+	Zones     []Zone     `yaml:"zones"`
+	Hosts     []Host     `yaml:"hosts"`
+	Groups    []Group    `yaml:"groups"`
+	Customers []Customer `yaml:"customers"`
+}
+
+// Zone is an availability zone.
+type Zone struct {
+	Name   string `yaml:"name"`
+	Region string `yaml:"region"`
+}
+
+// Host is an entry host. Its address comes from its own settings, because hosts
+// are replaced at any time under the same name.
+type Host struct {
+	Name string `yaml:"name"`
+	Zone string `yaml:"zone"`
+}
+
+// Group is a database group: one primary and its replicas.
+type Group struct {
+	Name       string     `yaml:"name"`
+	Durability Durability `yaml:"durability"`
+	Servers    []Server   `yaml:"servers"`
+}
+
+// Durability says when a write may be acknowledged.
+type Durability string
+
+// Durability settings.
+const (
+	// DurabilityReplicated acknowledges when another database holds the write.
+	DurabilityReplicated Durability = "replicated"
+	// DurabilityPrimary acknowledges when the primary committed the write.
+	DurabilityPrimary Durability = "primary"
+)
+
+// Server is a backend server: one database of a group.
+type Server struct {
+	Name    string `yaml:"name"`
+	Zone    string `yaml:"zone"`
+	Address string `yaml:"address"`
+	// Slots is the number of statements that the database runs at once.
+	Slots int `yaml:"slots"`
+	// Connections is the database's connection limit.
+	Connections int `yaml:"connections"`
+	// Leaving servers get no new work.
+	Leaving bool `yaml:"leaving"`
+}
+
+// Customer is a tenant with its callers' key verifiers.
+type Customer struct {
+	Name string   `yaml:"name"`
+	Keys []KeyRef `yaml:"keys"`
+}
+
+// KeyRef verifies one key of one caller.
+type KeyRef struct {
+	ID     string `yaml:"id"`
+	Caller string `yaml:"caller"`
+	// SHA256 is the hexadecimal digest of the key's 256-bit random secret.
+	SHA256    string `yaml:"sha256"`
+	Withdrawn bool   `yaml:"withdrawn"`
+}
+
+// Rules say who may do what.
+type Rules struct {
+	Routes []Route `yaml:"routes"`
+	Limits []Limit `yaml:"limits"`
+	// ZonesOut lists availability zones that get no new work.
+	ZonesOut []string `yaml:"zones_out"`
+	// KeyGrace is the largest age of a host's knowledge of the configuration
+	// at which it still accepts keys.
+	KeyGrace Duration `yaml:"key_grace"`
+}
+
+// RouteMode says what a route is for.
+type RouteMode string
+
+// Route modes.
+const (
+	// RouteWrite sends statements to the primary, and BEGIN READ ONLY
+	// transactions to a replica that satisfies session and staleness.
+	RouteWrite RouteMode = "write"
+	// RouteRead sends everything to a replica that satisfies session and
+	// staleness; a write fails at the backend server.
+	RouteRead RouteMode = "read"
+)
+
+// Route is what a caller names as its startup database.
+type Route struct {
+	Name  string    `yaml:"name"`
+	Group string    `yaml:"group"`
+	Mode  RouteMode `yaml:"mode"`
+	// Staleness is the largest accepted age of the data of a read.
+	Staleness Duration `yaml:"staleness"`
+	// Repeatable allows an automatic second run of a read of which the caller
+	// has seen nothing.
+	Repeatable bool `yaml:"repeatable"`
+	// Public routes need no key.
+	Public bool `yaml:"public"`
+	// Customers may use the route. Empty means every customer.
+	Customers []string `yaml:"customers"`
+	// Deadline bounds one statement, its wait in queues included.
+	Deadline Duration `yaml:"deadline"`
+}
+
+// Limit is the load that a customer may send through all hosts together.
+type Limit struct {
+	Customer string `yaml:"customer"`
+	// Rate is in requests per second.
+	Rate float64 `yaml:"rate"`
+	// Burst is in requests.
+	Burst float64 `yaml:"burst"`
+}
+
+// Duration is a time.Duration written with a unit, such as 250ms or 5s.
+type Duration time.Duration
+
+// Std returns the standard library's type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Defaults for settings that an operator leaves out.
+const (
+	DefaultKeyGrace = Duration(5 * time.Second)
+	DefaultDeadline = Duration(5 * time.Second)
+)
+
+// PublicCustomer is the customer under which public routes without a key are
+// limited and queued.
+const PublicCustomer = "public"
--- /dev/null
+++ b/internal/dbconn/dbconn.go
@@ -0,0 +1,167 @@
+package dbconn
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+)
+
+// keepAlive and userTimeout bound the time until a silent connection is found.
+const (
+	keepAlive   = 2 * time.Second
+	userTimeout = 4 * time.Second
+)
+
+// Role is the role that a backend server reports for itself.
+type Role string
+
+// Roles of a backend server.
+const (
+	Primary  Role = "primary"
+	Replica  Role = "replica"
+	Detached Role = "detached"
+)
+
+// Status is a backend server's own view of its place in the group.
+type Status struct {
+	Server string
+	Term   uint64
+	Role   Role
+	// Position is the last local commit on a primary, the applied position on
+	// a replica.
+	Position uint64
+	// Held is, on a primary, the highest position that a majority of the group
+	// holds in the primary's own term.
+	Held uint64
+	// Received is the highest position held, applied or not. Only Fence fills it.
+	Received uint64
+	// Connections is the number of open client connections.
+	Connections int
+}
+
+// Credentials are the proxy's own credentials towards backend servers.
+type Credentials struct {
+	User     string
+	Password string
+	Database string
+}
+
+// Conn is one connection to a backend server.
+type Conn struct {
+	pg *pgconn.PgConn
+}
+
+// Dial connects to a backend server at host:port.
+func Dial(ctx context.Context, address string, cred Credentials, application string) (*Conn, error) {
+	host, portText, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "backend address %q", address)
+	}
+	port, err := strconv.ParseUint(portText, 10, 16)
+	if err != nil {
+		return nil, errors.Wrapf(err, "backend port %q", portText)
+	}
+	cfg, err := pgconn.ParseConfig("sslmode=disable")
+	if err != nil {
+		return nil, errors.Wrap(err, "connection settings")
+	}
+	cfg.Host, cfg.Port = host, uint16(port)
+	cfg.User, cfg.Password, cfg.Database = cred.User, cred.Password, cred.Database
+	cfg.RuntimeParams = map[string]string{"application_name": application}
+	cfg.Fallbacks = nil
+	dialer := &net.Dialer{KeepAlive: keepAlive, Control: setUserTimeout}
+	cfg.DialFunc = dialer.DialContext
+	pg, err := pgconn.ConnectConfig(ctx, cfg)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", address)
+	}
+	return &Conn{pg: pg}, nil
+}
+
+// Hijack hands the raw connection over. Conn must not be used afterwards.
+func (c *Conn) Hijack() (*pgconn.HijackedConn, error) { return c.pg.Hijack() }
+
+// Close closes the connection without waiting for the backend server.
+func (c *Conn) Close() error { return c.pg.Conn().Close() }
+
+// StatusQuery is the simple query whose one row ParseStatus decodes.
+const StatusQuery = "SELECT * FROM cranberryhinge.status()"
+
+// Status asks for the backend server's status.
+func (c *Conn) Status(ctx context.Context) (Status, error) { return c.call(ctx, StatusQuery) }
+
+// Fence makes the backend server adopt the term and reject lower ones.
+func (c *Conn) Fence(ctx context.Context, term uint64) (Status, error) {
+	return c.call(ctx, fmt.Sprintf("SELECT * FROM cranberryhinge.fence(%d)", term))
+}
+
+// Promote makes the backend server the primary of a term that it adopted.
+func (c *Conn) Promote(ctx context.Context, term uint64) error {
+	return c.exec(ctx, fmt.Sprintf("SELECT cranberryhinge.promote(%d)", term))
+}
+
+// Follow makes the backend server replicate from the named primary.
+func (c *Conn) Follow(ctx context.Context, term uint64, primary string) error {
+	return c.exec(ctx, fmt.Sprintf("SELECT cranberryhinge.follow(%d, '%s')", term, primary))
+}
+
+// Evict closes the data connections of older role epochs.
+func (c *Conn) Evict(ctx context.Context, epoch uint64) error {
+	return c.exec(ctx, fmt.Sprintf("SELECT cranberryhinge.evict(%d)", epoch))
+}
+
+func (c *Conn) exec(ctx context.Context, sql string) error {
+	_, err := c.pg.Exec(ctx, sql).ReadAll()
+	return errors.Wrap(err, sql)
+}
+
+func (c *Conn) call(ctx context.Context, sql string) (Status, error) {
+	results, err := c.pg.Exec(ctx, sql).ReadAll()
+	if err != nil {
+		return Status{}, errors.Wrap(err, sql)
+	}
+	if len(results) != 1 || len(results[0].Rows) != 1 {
+		return Status{}, errors.Errorf("%s: want one row", sql)
+	}
+	return ParseStatus(results[0].Rows[0])
+}
+
+// Number of columns of a status row, without and with the received position.
+const (
+	statusColumns = 6
+	fenceColumns  = 7
+)
+
+// ParseStatus decodes a row of text values: server, term, role, position, held,
+// connections and, from fence, received.
+func ParseStatus(row [][]byte) (Status, error) {
+	if len(row) != statusColumns && len(row) != fenceColumns {
+		return Status{}, errors.Errorf("status row has %d columns", len(row))
+	}
+	s := Status{Server: string(row[0]), Role: Role(row[2])}
+	numbers := []struct {
+		column int
+		target *uint64
+	}{{1, &s.Term}, {3, &s.Position}, {4, &s.Held}, {6, &s.Received}}
+	for _, n := range numbers {
+		if n.column >= len(row) {
+			continue
+		}
+		v, err := strconv.ParseUint(string(row[n.column]), 10, 64)
+		if err != nil {
+			return Status{}, errors.Wrapf(err, "status column %d", n.column)
+		}
+		*n.target = v
+	}
+	count, err := strconv.Atoi(string(row[5]))
+	if err != nil {
+		return Status{}, errors.Wrap(err, "status connections")
+	}
+	s.Connections = count
+	return s, nil
+}
--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,17 @@
+package telemetry
+
+import (
+	"io"
+
+	"github.com/phuslu/log"
+)
+
+// NewLogger returns a logger that writes JSON lines. Keys and backend
+// credentials must never be passed to it.
+func NewLogger(w io.Writer, level, host string) *log.Logger {
+	return &log.Logger{
+		Level:   log.ParseLevel(level),
+		Writer:  &log.IOWriter{Writer: w},
+		Context: log.NewContext(nil).Str("host", host).Value(),
+	}
+}
