--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -17,7 +17,7 @@
 	Zones     []Zone     `yaml:"zones"`
 	Hosts     []Host     `yaml:"hosts"`
 	Groups    []Group    `yaml:"groups"`
-	Customers []Customer `yaml:"customers"`
+	Customers []Customer `yaml:"customers,omitempty"`
 }
 
 // Zone is an availability zone.
@@ -116,7 +116,7 @@
 	// Public routes need no key.
 	Public bool `yaml:"public"`
 	// Customers may use the route. Empty means every customer.
-	Customers []string `yaml:"customers"`
+	Customers []string `yaml:"customers,omitempty"`
 	// Deadline bounds one statement, its wait in queues included.
 	Deadline Duration `yaml:"deadline"`
 }
@@ -145,3 +145,69 @@
 // PublicCustomer is the customer under which public routes without a key are
 // limited and queued.
 const PublicCustomer = "public"
+
+// MonitorConnections is the number of connections to each database that are
+// kept for status polls, fencing and takeovers.
+const MonitorConnections = 4
+
+// Group returns the group with the name.
+func (d *Document) Group(name string) (Group, bool) {
+	for _, g := range d.Inventory.Groups {
+		if g.Name == name {
+			return g, true
+		}
+	}
+	return Group{}, false
+}
+
+// Route returns the route with the name.
+func (d *Document) Route(name string) (Route, bool) {
+	for _, r := range d.Rules.Routes {
+		if r.Name == name {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Customer returns the customer with the name.
+func (d *Document) Customer(name string) (Customer, bool) {
+	for _, c := range d.Inventory.Customers {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return Customer{}, false
+}
+
+// Limit returns the customer's limit.
+func (d *Document) Limit(customer string) (Limit, bool) {
+	for _, l := range d.Rules.Limits {
+		if l.Customer == customer {
+			return l, true
+		}
+	}
+	return Limit{}, false
+}
+
+// ZoneOut reports whether the zone was taken out of service.
+func (d *Document) ZoneOut(zone string) bool {
+	for _, z := range d.Rules.ZonesOut {
+		if z == zone {
+			return true
+		}
+	}
+	return false
+}
+
+// Server returns the backend server with the name and its group.
+func (d *Document) Server(name string) (Server, Group, bool) {
+	for _, g := range d.Inventory.Groups {
+		for _, s := range g.Servers {
+			if s.Name == name {
+				return s, g, true
+			}
+		}
+	}
+	return Server{}, Group{}, false
+}
--- /dev/null
+++ b/internal/peer/refused_linux.go
@@ -0,0 +1,5 @@
+package peer
+
+import "syscall"
+
+var errConnectionRefused error = syscall.ECONNREFUSED
