--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,8 +2,16 @@
 package cli
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+	"github.com/pkg/errors"
 )
 
 // Exit codes.
@@ -13,8 +21,91 @@
 	exitUsage   = 2
 )
 
+// usageError is a fault in the command line itself.
+type usageError struct{ message string }
+
+func (e usageError) Error() string { return e.message }
+
+func usagef(format string, args ...any) error {
+	return usageError{message: fmt.Sprintf(format, args...)}
+}
+
+// app holds what every subcommand shares.
+type app struct {
+	stdout, stderr io.Writer
+	json           bool
+}
+
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	fmt.Fprintln(stderr, "usage: cranberryhinge <subcommand>")
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	a := &app{stdout: stdout, stderr: stderr}
+	root := a.root()
+	if err := root.Parse(args); err != nil {
+		return a.parseFailed(root, err)
+	}
+	err := root.Run(ctx)
+	return a.exitCode(root, err)
+}
+
+func (a *app) parseFailed(root *ff.Command, err error) int {
+	selected := root.GetSelected()
+	if selected == nil {
+		selected = root
+	}
+	if errors.Is(err, ff.ErrHelp) {
+		fmt.Fprintln(a.stdout, ffhelp.Command(selected))
+		return exitOK
+	}
+	fmt.Fprintf(a.stderr, "error: %v\n\n%s\n", err, ffhelp.Command(selected))
 	return exitUsage
 }
+
+func (a *app) exitCode(root *ff.Command, err error) int {
+	var usage usageError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, ff.ErrNoExec), errors.As(err, &usage):
+		return a.parseFailed(root, err)
+	default:
+		fmt.Fprintf(a.stderr, "error: %v\n", err)
+		return exitFailure
+	}
+}
+
+func (a *app) root() *ff.Command {
+	flags := ff.NewFlagSet("cranberryhinge")
+	return &ff.Command{
+		Name:      "cranberryhinge",
+		Usage:     "cranberryhinge <SUBCOMMAND> ...",
+		ShortHelp: "a database proxy with session consistency",
+		Flags:     flags,
+		Subcommands: []*ff.Command{
+			a.checkCommand(), a.applyCommand(), a.statusCommand(), a.explainCommand(),
+			a.keyCommand(), a.zoneCommand(),
+		},
+	}
+}
+
+// jsonFlag adds --json to a flag set.
+func (a *app) jsonFlag(flags *ff.FlagSet) {
+	flags.BoolVar(&a.json, 0, "json", "print one JSON object instead of text")
+}
+
+func (a *app) printJSON(v any) error {
+	enc := json.NewEncoder(a.stdout)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(v), "print")
+}
+
+func (a *app) printf(format string, args ...any) { fmt.Fprintf(a.stdout, format, args...) }
+
+// oneArg returns the only positional argument.
+func oneArg(args []string, what string) (string, error) {
+	if len(args) != 1 {
+		return "", usagef("want one argument: %s", what)
+	}
+	return args[0], nil
+}
