Distribute rates over zones with conserved tokens

Each zone mints its share of a customer's rate and burst. A grant stays reserved at its minter until it is settled or has expired at the receiver.

A property test replays all admissions through one exact bucket under lost and late messages, pauses and takeovers. Four tests remove one guard each and check that the excess is then found.

--- /dev/null
+++ b/internal/customer/tokens_test.go
@@ -0,0 +1,300 @@
+package customer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	_ "github.com/cranberryhinge/cranberryhinge/internal/fixedseed"
+)
+
+// guards are the protections that a test may remove.
+type guards struct {
+	reserve     bool // grants stay reserved until settled or expired
+	expiry      bool // receivers discard old grants
+	startsEmpty bool // a new minter starts empty
+	lapse       bool // an old holder stops minting before a successor starts
+}
+
+var allGuards = guards{reserve: true, expiry: true, startsEmpty: true, lapse: true}
+
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+// model is a fleet of minters and spenders on a faulty network.
+type model struct {
+	rng      *rand.Rand
+	now      time.Duration
+	events   []event
+	limit    Limit
+	zones    []string
+	guards   guards
+	minters  map[string]*Minter
+	old      map[string]*Minter // holders that were replaced
+	spenders []*spenderHost
+	admitted []time.Duration
+	refused  int
+	lossy    bool
+}
+
+type spenderHost struct {
+	zone        string
+	spender     *Spender
+	pausedUntil time.Duration
+	nextID      RequestID
+}
+
+func newModel(seed uint64, limit Limit, zones, hosts int, g guards) *model {
+	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), limit: limit, guards: g, minters: map[string]*Minter{}, old: map[string]*Minter{}}
+	for i := range zones {
+		m.zones = append(m.zones, fmt.Sprintf("z%d", i))
+	}
+	for i, z := range m.zones {
+		m.minters[z] = m.newMinter(GrantID(i * 1_000_000))
+	}
+	for i := range hosts {
+		zone := m.zones[i%zones]
+		h := &spenderHost{zone: zone, spender: NewSpender(zone, m.zones, limit)}
+		if !g.expiry {
+			h.spender.validity = time.Hour
+		}
+		m.spenders = append(m.spenders, h)
+	}
+	return m
+}
+
+func (m *model) newMinter(first GrantID) *Minter {
+	minter := NewMinter(m.limit.Share(len(m.zones)), m.now, first)
+	if !m.guards.startsEmpty {
+		minter.level = minter.limit.Burst
+	}
+	return minter
+}
+
+func (m *model) at(t time.Duration, run func()) {
+	i, _ := slices.BinarySearchFunc(m.events, t, func(e event, t time.Duration) int {
+		if e.at <= t {
+			return -1
+		}
+		return 1
+	})
+	m.events = slices.Insert(m.events, i, event{at: t, run: run})
+}
+
+func (m *model) delay() time.Duration {
+	if m.lossy && m.rng.IntN(20) == 0 {
+		return time.Duration(m.rng.IntN(600)) * time.Millisecond
+	}
+	return time.Duration(200+m.rng.IntN(1800)) * time.Microsecond
+}
+
+func (m *model) lost() bool { return m.lossy && m.rng.IntN(30) == 0 }
+
+// deliver runs f at the host, after its pause when it is paused.
+func (m *model) deliver(h *spenderHost, after time.Duration, f func() []Action) {
+	m.at(m.now+after, func() {
+		if m.now < h.pausedUntil {
+			m.at(h.pausedUntil, func() { m.perform(h, f()) })
+			return
+		}
+		m.perform(h, f())
+	})
+}
+
+func (m *model) perform(h *spenderHost, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Admit:
+			m.admitted = append(m.admitted, m.now)
+		case Refuse:
+			m.refused++
+		case Ask:
+			m.send(h, a)
+		case Settle:
+			m.settle(a)
+		}
+	}
+	if at, ok := h.spender.Next(); ok {
+		m.deliver(h, max(0, at-m.now), func() []Action { return h.spender.Tick(m.now) })
+	}
+}
+
+func (m *model) send(h *spenderHost, a Ask) {
+	if m.lost() {
+		return
+	}
+	m.at(m.now+m.delay(), func() {
+		minter := m.minters[a.Zone]
+		if prev, ok := m.old[a.Zone]; ok && m.rng.IntN(2) == 0 {
+			minter = prev
+		}
+		id, amount := minter.Grant(m.now, a.Amount, GrantValidity)
+		left := minter.Left(m.now)
+		if !m.guards.reserve {
+			minter.Settle(m.now, id, 0)
+		}
+		if !m.lost() {
+			m.deliver(h, m.delay(), func() []Action { return h.spender.Granted(m.now, a.Ticket, id, amount, left) })
+		}
+	})
+}
+
+func (m *model) settle(a Settle) {
+	if m.lost() {
+		return
+	}
+	m.at(m.now+m.delay(), func() { m.minters[a.Zone].Settle(m.now, a.Grant, a.Returned) })
+}
+
+// takeover replaces the minter of a zone. With the lapse guard the old holder
+// has stopped before.
+func (m *model) takeover(zone string) {
+	if !m.guards.lapse {
+		m.old[zone] = m.minters[zone]
+	}
+	m.minters[zone] = m.newMinter(m.minters[zone].next + 1_000)
+}
+
+func (m *model) arrive(h *spenderHost) {
+	h.nextID++
+	id := h.nextID
+	m.deliver(h, 0, func() []Action { return h.spender.Arrive(m.now, id) })
+}
+
+func (m *model) runUntil(end time.Duration) {
+	for len(m.events) > 0 && m.events[0].at <= end {
+		e := m.events[0]
+		m.events = m.events[1:]
+		m.now = max(m.now, e.at)
+		e.run()
+	}
+	m.now = end
+}
+
+// overLimit replays the admissions through one exact bucket of the whole fleet.
+// It finds an excess in any window, because the bucket is the tightest bound
+// over all windows.
+func overLimit(admitted []time.Duration, limit Limit) bool {
+	slices.Sort(admitted)
+	level, last := limit.Burst, time.Duration(0)
+	for _, t := range admitted {
+		level = min(limit.Burst, level+limit.Rate*(t-last).Seconds()) - 1
+		last = t
+		if level < -1e-6 {
+			return true
+		}
+	}
+	return false
+}
+
+// faultyRun loads the fleet with bursts far above the limit and quiet times in
+// which the buckets fill. Hosts pause while grants are on their way to them,
+// minters change, and messages are lost or late.
+func faultyRun(seed uint64, limit Limit, zones, hosts int, g guards) *model {
+	const length = 4 * time.Second
+	m := newModel(seed, limit, zones, hosts, g)
+	m.lossy = true
+	for t := time.Duration(0); t < length; t += time.Duration(50+m.rng.IntN(600)) * time.Millisecond {
+		m.burst(t)
+	}
+	for range 4 {
+		zone := m.zones[m.rng.IntN(zones)]
+		m.at(time.Duration(m.rng.Int64N(int64(length))), func() { m.takeover(zone) })
+	}
+	m.runUntil(length)
+	return m
+}
+
+// burst sends twice the customer's burst to a few hosts and pauses one of them
+// a moment later.
+func (m *model) burst(t time.Duration) {
+	targets := 1 + m.rng.IntN(len(m.spenders))
+	for range int(2*m.limit.Burst) + 2 {
+		h := m.spenders[m.rng.IntN(targets)]
+		m.at(t+time.Duration(m.rng.IntN(3000))*time.Microsecond, func() { m.arrive(h) })
+	}
+	h := m.spenders[m.rng.IntN(targets)]
+	m.at(t+time.Duration(m.rng.IntN(5000))*time.Microsecond, func() {
+		h.pausedUntil = m.now + time.Duration(20+m.rng.IntN(400))*time.Millisecond
+	})
+}
+
+// Guards against a customer getting more than rate times time plus burst in any
+// window, through lost and late messages, pauses and takeovers of minters.
+// A longer run: go test ./internal/customer -run TokensAreConserved -rapid.checks=5000
+func TestTokensAreConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := Limit{
+			Rate:  float64(rapid.IntRange(5, 200).Draw(t, "rate")),
+			Burst: float64(rapid.IntRange(1, 100).Draw(t, "burst")),
+		}
+		zones := rapid.IntRange(1, 5).Draw(t, "zones")
+		m := faultyRun(rapid.Uint64().Draw(t, "seed"), limit, zones, rapid.IntRange(1, 9).Draw(t, "hosts"), allGuards)
+		if overLimit(m.admitted, limit) {
+			t.Fatalf("%d admitted over the limit", len(m.admitted))
+		}
+	})
+}
+
+// Guards against an oracle that cannot fail: without any one protection it has
+// to find an excess within a few runs.
+func TestOracleNoticesEachMissingGuard(t *testing.T) {
+	cases := map[string]guards{
+		"reserve":      {expiry: true, startsEmpty: true, lapse: true},
+		"expiry":       {reserve: true, startsEmpty: true, lapse: true},
+		"starts empty": {reserve: true, expiry: true, lapse: true},
+		"lapse":        {reserve: true, expiry: true, startsEmpty: true},
+	}
+	for name, g := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(400) {
+				// One zone, so that one answer on its way can carry the whole burst,
+				// and a rate that refills the bucket before the answer expires.
+				limit := Limit{Rate: 200, Burst: 20}
+				if m := faultyRun(seed, limit, 1, 3, g); overLimit(m.admitted, limit) {
+					return
+				}
+			}
+			t.Fatal("the oracle found no excess")
+		})
+	}
+}
+
+// Guards against wrongful refusals while the demand moves between hosts and
+// zones: a customer within its rate must get nearly everything.
+func TestDemandThatMovesIsServed(t *testing.T) {
+	const length = 30 * time.Second
+	limit := Limit{Rate: 40, Burst: 20}
+	m := newModel(7, limit, 4, 9, allGuards)
+	m.runUntil(time.Second) // buckets fill
+	sent := 0
+	for at := time.Second; at < length; at += time.Second / 36 { // 90 % of the rate
+		phase := int(at / (3 * time.Second))
+		h := m.spenders[phase%len(m.spenders)]
+		m.at(at+time.Duration(m.rng.IntN(20))*time.Millisecond, func() { m.arrive(h) })
+		sent++
+	}
+	m.runUntil(length + time.Second)
+	t.Logf("sent %d, admitted %d, refused %d", sent, len(m.admitted), m.refused)
+	assert.Equal(t, len(m.admitted)+m.refused, sent)
+	assert.Assert(t, float64(m.refused) < 0.001*float64(sent))
+}
+
+// Guards against requests of a noisy customer waiting without a bound.
+func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+	m := newModel(3, Limit{Rate: 10, Burst: 1}, 1, 1, allGuards)
+	for i := range 200 {
+		m.at(time.Duration(i)*time.Millisecond, func() { m.arrive(m.spenders[0]) })
+	}
+	m.runUntil(200 * time.Millisecond)
+	assert.Assert(t, m.spenders[0].spender.Waiting() < 10, "%d wait", m.spenders[0].spender.Waiting())
+	m.runUntil(2 * time.Second)
+	assert.Equal(t, len(m.admitted)+m.refused, 200)
+}
--- /dev/null
+++ b/internal/server/settings.go
@@ -0,0 +1,184 @@
+package server
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
+)
+
+// Settings are a host's own settings. Everything that all hosts share is in the
+// configuration instead.
+type Settings struct {
+	// Name is the host's name in the inventory.
+	Name string `yaml:"name"`
+	// Zone is the host's availability zone.
+	Zone   string         `yaml:"zone"`
+	Client ClientSettings `yaml:"client"`
+	Peer   PeerSettings   `yaml:"peer"`
+	Admin  AdminSettings  `yaml:"admin"`
+	// Platform is the address of the platform's services.
+	Platform string          `yaml:"platform"`
+	Backend  BackendSettings `yaml:"backend"`
+	// DrainTimeout bounds a planned stop.
+	DrainTimeout config.Duration `yaml:"drain_timeout"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `yaml:"log_level"`
+}
+
+// ClientSettings describe the listener for callers.
+type ClientSettings struct {
+	Listen string `yaml:"listen"`
+	// Certificate and Key are PEM files. They are needed unless Plaintext is set.
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	// Plaintext allows connections without TLS. Keys are then refused, so that
+	// only public routes work.
+	Plaintext bool `yaml:"plaintext"`
+	// MaxClients bounds the client connections of this host.
+	MaxClients int `yaml:"max_clients"`
+}
+
+// PeerSettings describe the listener for the other hosts.
+type PeerSettings struct {
+	Listen string `yaml:"listen"`
+	// Advertise is the address that other hosts use; default is Listen.
+	Advertise string `yaml:"advertise"`
+	// Certificate, Key and CA are PEM files for mutual TLS between hosts.
+	// Without them the connections between hosts are plaintext.
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	CA          string `yaml:"ca"`
+}
+
+// AdminSettings describe the listener for metrics and health checks.
+type AdminSettings struct {
+	Listen string `yaml:"listen"`
+}
+
+// BackendSettings hold the proxy's own credentials towards backend servers.
+type BackendSettings struct {
+	User     string `yaml:"user"`
+	Database string `yaml:"database"`
+	// PasswordFile holds the password, so that it need not stand in the settings.
+	PasswordFile string `yaml:"password_file"`
+	Password     string `yaml:"password"`
+}
+
+// Defaults of settings that are left out.
+const (
+	defaultDrainTimeout = config.Duration(30 * time.Second)
+	defaultMaxClients   = 20_000
+	defaultLogLevel     = "info"
+)
+
+// LoadSettings reads a host's settings strictly.
+func LoadSettings(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	var s Settings
+	if err := config.DecodeStrict(path, data, &s); err != nil {
+		return Settings{}, err
+	}
+	return s, s.prepare()
+}
+
+// prepare fills in defaults and checks the settings.
+func (s *Settings) prepare() error {
+	if s.Peer.Advertise == "" {
+		s.Peer.Advertise = s.Peer.Listen
+	}
+	if s.DrainTimeout == 0 {
+		s.DrainTimeout = defaultDrainTimeout
+	}
+	if s.Client.MaxClients == 0 {
+		s.Client.MaxClients = defaultMaxClients
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = defaultLogLevel
+	}
+	if s.Backend.PasswordFile != "" {
+		data, err := os.ReadFile(s.Backend.PasswordFile)
+		if err != nil {
+			return errors.Wrap(err, "read backend password")
+		}
+		s.Backend.Password = string(data)
+	}
+	return s.check()
+}
+
+func (s *Settings) check() error {
+	required := []struct{ name, value string }{
+		{"name", s.Name},
+		{"zone", s.Zone},
+		{"client.listen", s.Client.Listen},
+		{"peer.listen", s.Peer.Listen},
+		{"platform", s.Platform},
+		{"backend.user", s.Backend.User},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return errors.Errorf("setting %s is missing", r.name)
+		}
+	}
+	if !s.Client.Plaintext && (s.Client.Certificate == "" || s.Client.Key == "") {
+		return errors.New("settings client.certificate and client.key are missing; plaintext has to be switched on with client.plaintext")
+	}
+	for _, a := range []struct{ name, value string }{{"client.listen", s.Client.Listen}, {"peer.listen", s.Peer.Listen}, {"peer.advertise", s.Peer.Advertise}} {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return errors.Errorf("setting %s: %q is not IP:port", a.name, a.value)
+		}
+	}
+	return nil
+}
+
+// Credentials returns the credentials towards backend servers.
+func (s *Settings) Credentials() dbconn.Credentials {
+	return dbconn.Credentials{User: s.Backend.User, Password: s.Backend.Password, Database: s.Backend.Database}
+}
+
+// ClientTLS returns the TLS settings of the client listener, nil for plaintext.
+func (s *Settings) ClientTLS() (*tls.Config, error) {
+	if s.Client.Certificate == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.Client.Certificate, s.Client.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "client certificate")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}, nil
+}
+
+// PeerTLS returns the mutual TLS settings between hosts, nil for plaintext.
+func (s *Settings) PeerTLS() (*tls.Config, error) {
+	if s.Peer.Certificate == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(s.Peer.Certificate, s.Peer.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer certificate")
+	}
+	ca, err := os.ReadFile(s.Peer.CA)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer CA")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		return nil, errors.Errorf("peer CA %s holds no certificate", s.Peer.CA)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
