--- /dev/null
+++ b/internal/platform/platformpb/doc.go
@@ -0,0 +1,4 @@
+// Package platformpb holds the generated gRPC code.
+package platformpb
+
+//go:generate ../../generate.sh
