--- /dev/null
+++ b/internal/server/admin.go
@@ -0,0 +1,70 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/report"
+	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+)
+
+// adminTimeout bounds reading a request and stopping the listener.
+const adminTimeout = 5 * time.Second
+
+// statusSource is what the admin listener shows.
+type statusSource interface {
+	Status() report.Status
+}
+
+// adminHandler serves metrics, health checks and the status page.
+func adminHandler(source statusSource, counters *telemetry.Counters) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !source.Status().Ready {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		s := source.Status()
+		s.Configuration = ""
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s)
+	})
+	mux.HandleFunc("GET /metrics.json", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(counters.String()))
+	})
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	return mux
+}
+
+// serveAdmin serves until ctx ends.
+func serveAdmin(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), adminTimeout)
+		defer cancel()
+		_ = srv.Shutdown(stopCtx)
+	}()
+	err := srv.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-stopped
+		return nil
+	}
+	return errors.Wrap(err, "admin listener")
+}
