--- /dev/null
+++ b/internal/standin/settings.go
@@ -0,0 +1,127 @@
+package standin
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+)
+
+// Password checks that a database can ask for.
+const (
+	AuthenticationCleartext = "cleartext"
+	AuthenticationMD5       = "md5"
+)
+
+// Defaults for settings that are left out.
+const (
+	defaultConnections = 100
+	defaultSlots       = 8
+	// defaultSilentTimeout is the time after which the server's own TCP
+	// keep-alive drops a connection that went silent.
+	defaultSilentTimeout = 4 * time.Second
+)
+
+// Range is a range of durations from which each delay is drawn uniformly.
+type Range struct {
+	Min time.Duration `yaml:"min"`
+	Max time.Duration `yaml:"max"`
+}
+
+// Fixed is the range that holds only d.
+func Fixed(d time.Duration) Range { return Range{Min: d, Max: d} }
+
+// DatabaseSettings describe one stand-in database.
+type DatabaseSettings struct {
+	Name string `yaml:"name"`
+	// Address serves clients and the group's other databases.
+	Address string `yaml:"address"`
+	// Peers maps the names of the group's other databases to their addresses.
+	Peers map[string]string `yaml:"peers"`
+	// Term and Primary are the state at the first start. Without Primary the
+	// database starts detached.
+	Term    uint64 `yaml:"term"`
+	Primary string `yaml:"primary"`
+
+	User           string `yaml:"user"`
+	Password       string `yaml:"password"`
+	Authentication string `yaml:"authentication"`
+
+	// Connections is the limit above which 53300 is answered.
+	Connections  int           `yaml:"connections"`
+	ConnectDelay time.Duration `yaml:"connect_delay"`
+	// Slots is the number of data statements that run at once; more wait.
+	// Contract calls, transaction control and SET, SHOW and RESET need no slot.
+	Slots       int   `yaml:"slots"`
+	ServiceTime Range `yaml:"service_time"`
+	// TransportDelay is one-way: it delays log entries at the replica and
+	// acknowledgements at the primary.
+	TransportDelay Range         `yaml:"transport_delay"`
+	ApplyDelay     Range         `yaml:"apply_delay"`
+	AnswerDelay    time.Duration `yaml:"answer_delay"`
+	SilentTimeout  time.Duration `yaml:"silent_timeout"`
+	// Seed makes the drawn delays repeatable.
+	Seed uint64 `yaml:"seed"`
+}
+
+// ParseDatabaseSettings decodes settings from YAML.
+func ParseDatabaseSettings(data []byte) (DatabaseSettings, error) {
+	var s DatabaseSettings
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&s); err != nil {
+		return s, errors.Wrap(err, "database settings")
+	}
+	return s, nil
+}
+
+func (s *DatabaseSettings) complete() error {
+	if s.Name == "" {
+		return errors.New("database settings: name is missing")
+	}
+	if s.Address == "" {
+		s.Address = "127.0.0.1:0"
+	}
+	if s.Connections == 0 {
+		s.Connections = defaultConnections
+	}
+	if s.Slots == 0 {
+		s.Slots = defaultSlots
+	}
+	if s.SilentTimeout == 0 {
+		s.SilentTimeout = defaultSilentTimeout
+	}
+	switch s.Authentication {
+	case "":
+		s.Authentication = AuthenticationCleartext
+	case AuthenticationCleartext, AuthenticationMD5:
+	default:
+		return errors.Errorf("database settings: unknown authentication %q", s.Authentication)
+	}
+	if s.Primary != "" && s.Term == 0 {
+		s.Term = 1
+	}
+	return nil
+}
+
+// dice draws delays from a seeded source.
+type dice struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func newDice(seed uint64) *dice {
+	return &dice{rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15))}
+}
+
+func (d *dice) draw(r Range) time.Duration {
+	if r.Max <= r.Min {
+		return r.Min
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return r.Min + time.Duration(d.rng.Int64N(int64(r.Max-r.Min)+1))
+}
--- /dev/null
+++ b/internal/standin/sql.go
@@ -0,0 +1,463 @@
+package standin
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgtype"
+)
+
+type kind int
+
+const (
+	kindEmpty kind = iota
+	// Data statements: they take a slot.
+	kindGet
+	kindScan
+	kindCountRows
+	kindUpsert
+	kindInsert
+	kindUpdate
+	kindIncrement
+	kindUpsertIncrement
+	kindDelete
+	kindLogInsert
+	kindLogCount
+	kindLogTotal
+	kindLogScan
+	kindSleep
+	kindSeries
+	kindRepeat
+	kindExpression
+	kindCopyIn
+	kindCopyOut
+	// Session statements: they take no slot.
+	kindBegin
+	kindCommit
+	kindRollback
+	kindSet
+	kindSetLocal
+	kindSetTransaction
+	kindSetCharacteristics
+	kindReset
+	kindResetAll
+	kindShow
+	kindDiscardAll
+	kindDeallocate
+	kindDeallocateAll
+	kindUnlockAll
+	kindBackendPID
+	kindAccepted
+	kindContract
+)
+
+// operand is a literal or a parameter of a statement.
+type operand struct {
+	param int // 1-based, 0 for a literal
+	text  string
+	null  bool
+	oid   uint32
+}
+
+// statement is one parsed SQL statement.
+type statement struct {
+	kind     kind
+	sql      string
+	tag      string
+	operands []operand
+	columns  []column
+	params   []uint32
+	// words are the parts of a session statement that its kind needs.
+	words []string
+	// binary is set for COPY in the binary format.
+	binary bool
+}
+
+func (s *statement) isData() bool { return s.kind >= kindGet && s.kind <= kindCopyOut }
+
+func (s *statement) writes() bool {
+	switch s.kind {
+	case kindUpsert, kindInsert, kindUpdate, kindIncrement, kindUpsertIncrement, kindDelete, kindLogInsert, kindCopyIn:
+		return true
+	}
+	return false
+}
+
+func (s *statement) endsTransaction() bool { return s.kind == kindCommit || s.kind == kindRollback }
+
+const (
+	operandPattern = `(\$\d+|'(?:[^']|'')*'|-?\d+(?:\.\d+)?|NULL)(?:\s*::\s*([A-Za-z]\w*))?`
+	casts          = "text varchar int4 int8 integer bigint float8 boolean"
+)
+
+var castOIDs = map[string]uint32{
+	"text": pgtype.TextOID, "varchar": pgtype.TextOID, "int4": pgtype.Int4OID, "integer": pgtype.Int4OID,
+	"int": pgtype.Int4OID, "int8": pgtype.Int8OID, "bigint": pgtype.Int8OID, "float8": pgtype.Float8OID,
+	"boolean": pgtype.BoolOID, "bool": pgtype.BoolOID,
+}
+
+// pattern recognises one form of a data statement. Its source is SQL with a
+// question mark for each operand; spacing, letter case, quoted identifiers and
+// casts of operands are free.
+type pattern struct {
+	expr     *regexp.Regexp
+	kind     kind
+	tag      string
+	operands []uint32
+	columns  []column
+}
+
+var tokenPattern = regexp.MustCompile(`\?|'[^']*'|\w+|[^\s\w]`)
+
+// compile turns the source of a pattern into a regular expression.
+func compile(source string) *regexp.Regexp {
+	var b strings.Builder
+	b.WriteString(`(?is)^`)
+	wordBefore := false
+	for i, token := range tokenPattern.FindAllString(source, -1) {
+		isWord := token == "?" || token[0] == '\'' || regexp.MustCompile(`^\w`).MatchString(token)
+		switch {
+		case i == 0:
+		case isWord && wordBefore:
+			b.WriteString(`\s+`)
+		default:
+			b.WriteString(`\s*`)
+		}
+		switch {
+		case token == "?":
+			b.WriteString(operandPattern)
+		case isWord && token[0] != '\'':
+			b.WriteString(`"?` + token + `"?`)
+		default:
+			b.WriteString(regexp.QuoteMeta(token))
+		}
+		wordBefore = isWord
+	}
+	b.WriteString(`$`)
+	return regexp.MustCompile(b.String())
+}
+
+var (
+	textColumn = uint32(pgtype.TextOID)
+	valueOnly  = []column{{"value", textColumn}}
+	keyValue   = []column{{"key", textColumn}, {"value", textColumn}}
+	countOnly  = []column{{"count", pgtype.Int8OID}}
+	textParam  = []uint32{pgtype.TextOID}
+	textParams = []uint32{pgtype.TextOID, pgtype.TextOID}
+)
+
+func newPattern(k kind, tag, source string, operands []uint32, columns []column) pattern {
+	return pattern{expr: compile(source), kind: k, tag: tag, operands: operands, columns: columns}
+}
+
+const upsert = "INSERT INTO kv (key, value) VALUES (?, ?) ON CONFLICT (key) DO UPDATE SET value = "
+
+// withReturning adds the same statement with RETURNING value.
+func withReturning(patterns []pattern, k kind, tag, source string, operands []uint32) []pattern {
+	return append(
+		patterns,
+		newPattern(k, tag, source, operands, nil),
+		newPattern(k, tag, source+" RETURNING value", operands, valueOnly),
+	)
+}
+
+var patterns = buildPatterns()
+
+func buildPatterns() []pattern {
+	p := []pattern{
+		newPattern(kindGet, "SELECT", "SELECT value FROM kv WHERE key = ?", textParam, valueOnly),
+		newPattern(kindScan, "SELECT", "SELECT key, value FROM kv", nil, keyValue),
+		newPattern(kindScan, "SELECT", "SELECT key, value FROM kv ORDER BY key", nil, keyValue),
+		newPattern(kindCountRows, "SELECT", "SELECT count(*) FROM kv", nil, countOnly),
+		newPattern(kindDelete, "DELETE", "DELETE FROM kv WHERE key = ?", textParam, nil),
+		newPattern(kindLogInsert, "INSERT", "INSERT INTO log (entry) VALUES (?)", textParam, nil),
+		newPattern(kindLogCount, "SELECT", "SELECT count(*) FROM log WHERE entry = ?", textParam, countOnly),
+		newPattern(kindLogTotal, "SELECT", "SELECT count(*) FROM log", nil, countOnly),
+		newPattern(kindLogScan, "SELECT", "SELECT entry FROM log", nil, []column{{"entry", textColumn}}),
+		newPattern(kindSleep, "SELECT", "SELECT pg_sleep(?)", []uint32{pgtype.Float8OID}, []column{{"pg_sleep", voidOID}}),
+		newPattern(kindSeries, "SELECT", "SELECT generate_series(?, ?)", []uint32{pgtype.Int4OID, pgtype.Int4OID},
+			[]column{{"generate_series", pgtype.Int4OID}}),
+		newPattern(kindRepeat, "SELECT", "SELECT repeat(?, ?)", []uint32{pgtype.TextOID, pgtype.Int4OID}, []column{{"repeat", textColumn}}),
+		newPattern(kindBackendPID, "SELECT", "SELECT pg_backend_pid()", nil, []column{{"pg_backend_pid", pgtype.Int4OID}}),
+		newPattern(kindExpression, "SELECT", "SELECT ?", []uint32{0}, []column{{"?column?", 0}}),
+		newPattern(kindUnlockAll, "SELECT", "SELECT pg_advisory_unlock_all()", nil, []column{{"pg_advisory_unlock_all", voidOID}}),
+	}
+	p = withReturning(p, kindUpsert, "INSERT", upsert+"excluded.value", textParams)
+	p = withReturning(p, kindUpsertIncrement, "INSERT", upsert+"(kv.value::int8 + 1)::text", textParams)
+	p = withReturning(p, kindInsert, "INSERT", "INSERT INTO kv (key, value) VALUES (?, ?)", textParams)
+	p = withReturning(p, kindUpdate, "UPDATE", "UPDATE kv SET value = ? WHERE key = ?", textParams)
+	p = withReturning(p, kindIncrement, "UPDATE", "UPDATE kv SET value = (value::int8 + ?)::text WHERE key = ?",
+		[]uint32{pgtype.Int8OID, pgtype.TextOID})
+	return p
+}
+
+// sessionPattern recognises a statement that takes no slot. Its words are the
+// groups of the expression.
+type sessionPattern struct {
+	expr *regexp.Regexp
+	kind kind
+	tag  string
+}
+
+const beginModes = `((?:\s*,?\s*(?:ISOLATION\s+LEVEL\s+(?:SERIALIZABLE|REPEATABLE\s+READ|READ\s+COMMITTED|READ\s+UNCOMMITTED)|` +
+	`READ\s+ONLY|READ\s+WRITE|NOT\s+DEFERRABLE|DEFERRABLE))*)`
+
+var sessionPatterns = []sessionPattern{
+	{regexp.MustCompile(`(?is)^(?:BEGIN(?:\s+(?:WORK|TRANSACTION))?|START\s+TRANSACTION)` + beginModes + `$`), kindBegin, "BEGIN"},
+	{regexp.MustCompile(`(?is)^(?:COMMIT|END)(?:\s+(?:WORK|TRANSACTION))?$`), kindCommit, "COMMIT"},
+	{regexp.MustCompile(`(?is)^(?:ROLLBACK|ABORT)(?:\s+(?:WORK|TRANSACTION))?$`), kindRollback, "ROLLBACK"},
+	{regexp.MustCompile(`(?is)^SET\s+TRANSACTION` + beginModes + `$`), kindSetTransaction, "SET"},
+	{regexp.MustCompile(`(?is)^SET\s+SESSION\s+CHARACTERISTICS\s+AS\s+TRANSACTION` + beginModes + `$`), kindSetCharacteristics, "SET"},
+	{regexp.MustCompile(`(?is)^SET\s+LOCAL\s+([\w.]+)\s*(?:=|\s+TO\s)\s*(.+)$`), kindSetLocal, "SET"},
+	{regexp.MustCompile(`(?is)^SET\s+(?:SESSION\s+)?([\w.]+)\s*(?:=|\s+TO\s)\s*(.+)$`), kindSet, "SET"},
+	{regexp.MustCompile(`(?is)^RESET\s+ALL$`), kindResetAll, "RESET"},
+	{regexp.MustCompile(`(?is)^RESET\s+([\w.]+)$`), kindReset, "RESET"},
+	{regexp.MustCompile(`(?is)^SHOW\s+([\w.]+)$`), kindShow, "SHOW"},
+	{regexp.MustCompile(`(?is)^DISCARD\s+ALL$`), kindDiscardAll, "DISCARD ALL"},
+	{regexp.MustCompile(`(?is)^DEALLOCATE\s+(?:PREPARE\s+)?ALL$`), kindDeallocateAll, "DEALLOCATE ALL"},
+	{regexp.MustCompile(`(?is)^DEALLOCATE\s+(?:PREPARE\s+)?"?(\w+)"?$`), kindDeallocate, "DEALLOCATE"},
+	{regexp.MustCompile(`(?is)^CLOSE\s+ALL$`), kindAccepted, "CLOSE CURSOR ALL"},
+	{regexp.MustCompile(`(?is)^UNLISTEN\s+(?:\*|"?\w+"?)$`), kindAccepted, "UNLISTEN"},
+	{regexp.MustCompile(`(?is)^LISTEN\s+"?\w+"?$`), kindAccepted, "LISTEN"},
+	{regexp.MustCompile(`(?is)^DISCARD\s+(?:TEMP|TEMPORARY)$`), kindAccepted, "DISCARD TEMP"},
+	{regexp.MustCompile(`(?is)^DISCARD\s+SEQUENCES$`), kindAccepted, "DISCARD SEQUENCES"},
+	{regexp.MustCompile(`(?is)^DISCARD\s+PLANS$`), kindAccepted, "DISCARD PLANS"},
+}
+
+var (
+	contractPattern = regexp.MustCompile(`(?is)^SELECT\s+(?:\*\s+FROM\s+)?cranberryhinge\.(\w+)\s*\(([^)]*)\)$`)
+	copyInPattern   = regexp.MustCompile(`(?is)^COPY\s+"?kv"?\s*(?:\(\s*"?key"?\s*,\s*"?value"?\s*\)\s*)?FROM\s+STDIN(.*)$`)
+	copyOutPattern  = regexp.MustCompile(`(?is)^COPY\s+"?kv"?\s*(?:\(\s*"?key"?\s*,\s*"?value"?\s*\)\s*)?TO\s+STDOUT$`)
+	operandExpr     = regexp.MustCompile(`(?is)^\s*` + operandPattern + `\s*$`)
+	commentPattern  = regexp.MustCompile(`(?s)^(?:\s+|--[^\n]*(?:\n|$)|/\*.*?\*/)`)
+	binaryPattern   = regexp.MustCompile(`(?i)\bbinary\b`)
+)
+
+// split cuts a simple query at the semicolons outside quotes.
+func split(sql string) []string {
+	var parts []string
+	quote := byte(0)
+	start := 0
+	for i := 0; i < len(sql); i++ {
+		c := sql[i]
+		switch {
+		case quote != 0:
+			if c == quote {
+				quote = 0
+			}
+		case c == '\'' || c == '"':
+			quote = c
+		case c == ';':
+			parts = append(parts, sql[start:i])
+			start = i + 1
+		}
+	}
+	parts = append(parts, sql[start:])
+	var statements []string
+	for _, part := range parts {
+		if part = trim(part); part != "" {
+			statements = append(statements, part)
+		}
+	}
+	return statements
+}
+
+// trim removes white space, leading comments and trailing semicolons.
+func trim(sql string) string {
+	for {
+		prefix := commentPattern.FindString(sql)
+		if prefix == "" {
+			break
+		}
+		sql = sql[len(prefix):]
+	}
+	return strings.TrimRight(sql, "; \t\r\n")
+}
+
+// parse recognises one statement.
+func parse(sql string) (*statement, *sqlError) {
+	sql = trim(sql)
+	if sql == "" {
+		return &statement{kind: kindEmpty}, nil
+	}
+	for i := range sessionPatterns {
+		p := &sessionPatterns[i]
+		if m := p.expr.FindStringSubmatch(sql); m != nil {
+			return sessionStatement(p, sql, m[1:]), nil
+		}
+	}
+	if m := contractPattern.FindStringSubmatch(sql); m != nil {
+		return parseContract(sql, strings.ToLower(m[1]), m[2])
+	}
+	if m := copyInPattern.FindStringSubmatch(sql); m != nil {
+		return &statement{kind: kindCopyIn, sql: sql, tag: "COPY", binary: binaryPattern.MatchString(m[1])}, nil
+	}
+	if copyOutPattern.MatchString(sql) {
+		return &statement{kind: kindCopyOut, sql: sql, tag: "COPY"}, nil
+	}
+	for i := range patterns {
+		p := &patterns[i]
+		if m := p.expr.FindStringSubmatch(sql); m != nil {
+			return p.statement(sql, m[1:])
+		}
+	}
+	return nil, failf(codeSyntax, "statement is not supported: %.100s", sql)
+}
+
+func sessionStatement(p *sessionPattern, sql string, words []string) *statement {
+	s := &statement{kind: p.kind, sql: sql, tag: p.tag, words: words}
+	if p.kind == kindShow {
+		s.columns = []column{{strings.ToLower(words[0]), textColumn}}
+	}
+	return s
+}
+
+func (p *pattern) statement(sql string, groups []string) (*statement, *sqlError) {
+	s := &statement{kind: p.kind, sql: sql, tag: p.tag, columns: p.columns}
+	for i, oid := range p.operands {
+		if err := s.addOperand(groups[2*i], groups[2*i+1], oid); err != nil {
+			return nil, err
+		}
+	}
+	if p.kind == kindExpression {
+		o := s.operands[0]
+		s.columns = []column{{"?column?", o.oid}}
+		if o.oid == pgtype.TextOID && strings.Contains(sql, "::") {
+			s.columns[0].name = "text"
+		}
+	}
+	return s, nil
+}
+
+// addOperand reads one operand; oid is the type that its place in the statement
+// needs, 0 for any.
+func (s *statement) addOperand(text, cast string, oid uint32) *sqlError {
+	if cast != "" {
+		castOID, ok := castOIDs[strings.ToLower(cast)]
+		if !ok {
+			return failf(codeUndefinedObject, "type %q is not one of: %s", cast, casts)
+		}
+		oid = castOID
+	}
+	o := operand{oid: oid}
+	switch {
+	case text[0] == '$':
+		n, err := strconv.Atoi(text[1:])
+		if err != nil || n < 1 || n > 100 {
+			return failf(codeSyntax, "there is no parameter %s", text)
+		}
+		o.param = n
+		if o.oid == 0 {
+			o.oid = pgtype.TextOID
+		}
+		for len(s.params) < n {
+			s.params = append(s.params, 0)
+		}
+		s.params[n-1] = o.oid
+	case text[0] == '\'':
+		o.text = strings.ReplaceAll(text[1:len(text)-1], "''", "'")
+		if o.oid == 0 {
+			o.oid = pgtype.TextOID
+		}
+	case strings.EqualFold(text, "null"):
+		o.null = true
+	default:
+		o.text = text
+		if o.oid == 0 {
+			o.oid = pgtype.Int4OID
+		}
+	}
+	s.operands = append(s.operands, o)
+	return nil
+}
+
+var statusColumns = []column{
+	{"server", textColumn},
+	{"term", pgtype.Int8OID},
+	{"role", textColumn},
+	{"position", pgtype.Int8OID},
+	{"held", pgtype.Int8OID},
+	{"connections", pgtype.Int4OID},
+}
+
+var contractOperands = map[string][]uint32{
+	"status":  nil,
+	"fence":   {pgtype.Int8OID},
+	"promote": {pgtype.Int8OID},
+	"follow":  {pgtype.Int8OID, pgtype.TextOID},
+	"evict":   {pgtype.Int8OID},
+}
+
+func parseContract(sql, name, arguments string) (*statement, *sqlError) {
+	types, ok := contractOperands[name]
+	if !ok {
+		return nil, failf("42883", "function cranberryhinge.%s does not exist", name)
+	}
+	s := &statement{kind: kindContract, sql: sql, tag: "SELECT", words: []string{name}}
+	switch name {
+	case "status":
+		s.columns = statusColumns
+	case "fence":
+		s.columns = append(statusColumns[:len(statusColumns):len(statusColumns)], column{"received", pgtype.Int8OID})
+	case "evict":
+		s.columns = []column{{name, pgtype.Int4OID}}
+	default:
+		s.columns = []column{{name, voidOID}}
+	}
+	var parts []string
+	if strings.TrimSpace(arguments) != "" {
+		parts = strings.Split(arguments, ",")
+	}
+	if len(parts) != len(types) {
+		return nil, failf("42883", "cranberryhinge.%s takes %d arguments", name, len(types))
+	}
+	for i, part := range parts {
+		m := operandExpr.FindStringSubmatch(part)
+		if m == nil {
+			return nil, failf(codeSyntax, "argument %d of cranberryhinge.%s", i+1, name)
+		}
+		if err := s.addOperand(m[1], m[2], types[i]); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// readOnlyMode reads the access mode of BEGIN and SET TRANSACTION; ok is false when
+// none is given.
+func readOnlyMode(modes string) (readOnly, ok bool) {
+	words := strings.Fields(strings.ToUpper(strings.ReplaceAll(modes, ",", " ")))
+	for i := 0; i+1 < len(words); i++ {
+		if words[i] != "READ" {
+			continue
+		}
+		switch words[i+1] {
+		case "ONLY":
+			readOnly, ok = true, true
+		case "WRITE":
+			readOnly, ok = false, true
+		}
+	}
+	return readOnly, ok
+}
+
+// unquote returns the value of a SET statement.
+func unquote(text string) string {
+	text = strings.TrimSpace(text)
+	if len(text) >= 2 && text[0] == '\'' && text[len(text)-1] == '\'' {
+		return strings.ReplaceAll(text[1:len(text)-1], "''", "'")
+	}
+	if len(text) >= 2 && text[0] == '"' && text[len(text)-1] == '"' {
+		return text[1 : len(text)-1]
+	}
+	return text
+}
+
+func isOn(text string) bool {
+	switch strings.ToLower(text) {
+	case "on", "true", "yes", "1":
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,409 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
+)
+
+var testCredentials = dbconn.Credentials{User: "proxy", Password: "backend secret", Database: "kv"}
+
+func testSettings(name string) DatabaseSettings {
+	return DatabaseSettings{
+		Name: name, Term: 1, Primary: "a", User: testCredentials.User, Password: testCredentials.Password, Seed: 7,
+	}
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func startGroup(t *testing.T, settings ...DatabaseSettings) []*Database {
+	t.Helper()
+	group, err := StartGroup(settings...)
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		for _, db := range group {
+			db.Kill()
+		}
+	})
+	return group
+}
+
+func startThree(t *testing.T) (a, b, c *Database) {
+	t.Helper()
+	group := startGroup(t, testSettings("a"), testSettings("b"), testSettings("c"))
+	return group[0], group[1], group[2]
+}
+
+func connect(t *testing.T, db *Database, application string) (*pgx.Conn, error) {
+	t.Helper()
+	cfg, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s@%s/kv?sslmode=disable",
+		url.UserPassword(testCredentials.User, testCredentials.Password), db.Address()))
+	assert.NilError(t, err)
+	cfg.RuntimeParams["application_name"] = application
+	conn, err := pgx.ConnectConfig(testContext(t), cfg)
+	if err == nil {
+		t.Cleanup(func() { conn.Close(context.Background()) })
+	}
+	return conn, err
+}
+
+func mustConnect(t *testing.T, db *Database) *pgx.Conn {
+	t.Helper()
+	conn, err := connect(t, db, "test")
+	assert.NilError(t, err)
+	return conn
+}
+
+func monitor(t *testing.T, db *Database) *dbconn.Conn {
+	t.Helper()
+	conn, err := dbconn.Dial(testContext(t), db.Address(), testCredentials, "cranberryhinge/h1/monitor")
+	assert.NilError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func code(err error) string {
+	var pgErr *pgconn.PgError
+	if errors.As(err, &pgErr) {
+		return pgErr.Code
+	}
+	return ""
+}
+
+const upsertSQL = "INSERT INTO kv (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = excluded.value"
+
+func put(t *testing.T, conn *pgx.Conn, key, v string) {
+	t.Helper()
+	_, err := conn.Exec(testContext(t), upsertSQL, key, v)
+	assert.NilError(t, err)
+}
+
+func get(t *testing.T, conn *pgx.Conn, key string) string {
+	t.Helper()
+	var v string
+	err := conn.QueryRow(testContext(t), "SELECT value FROM kv WHERE key = $1", key).Scan(&v)
+	if errors.Is(err, pgx.ErrNoRows) {
+		return ""
+	}
+	assert.NilError(t, err)
+	return v
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(2*time.Millisecond), poll.WithTimeout(5*time.Second))
+}
+
+// Guards the default mode of pgx (extended protocol, cached statements, binary
+// results) against a stand-in that only speaks the simple protocol.
+func TestDefaultModeRoundTrip(t *testing.T) {
+	db := startGroup(t, testSettings("a"))[0]
+	ctx, conn := testContext(t), mustConnect(t, db)
+	for i := range 3 {
+		put(t, conn, "k", fmt.Sprint(i))
+		assert.Equal(t, get(t, conn, "k"), fmt.Sprint(i))
+	}
+	assert.Equal(t, get(t, conn, "absent"), "")
+	_, err := conn.Exec(ctx, "INSERT INTO kv (key, value) VALUES ($1, $2)", "k", "x")
+	assert.Equal(t, code(err), "23505")
+	var text string
+	err = conn.QueryRow(ctx, "UPDATE kv SET value = (value::int8 + $2)::text WHERE key = $1 RETURNING value", "k", 5).Scan(&text)
+	assert.NilError(t, err)
+	assert.Equal(t, text, "7")
+	_, err = conn.Exec(ctx, "INSERT INTO log (entry) VALUES ($1)", "once")
+	assert.NilError(t, err)
+	var n int64
+	assert.NilError(t, conn.QueryRow(ctx, "SELECT count(*) FROM log WHERE entry = $1", "once").Scan(&n))
+	assert.Equal(t, n, int64(1))
+	rows, err := conn.Query(ctx, "SELECT generate_series(1, 50000)")
+	assert.NilError(t, err)
+	series, err := pgx.CollectRows(rows, pgx.RowTo[int32])
+	assert.NilError(t, err)
+	assert.Equal(t, len(series), 50000)
+	assert.Equal(t, series[49999], int32(50000))
+	batch := &pgx.Batch{}
+	batch.Queue(upsertSQL, "b", "1")
+	batch.Queue("INSERT INTO kv (key, value) VALUES ($1, $2)", "b", "2")
+	assert.Equal(t, code(conn.SendBatch(ctx, batch).Close()), "23505")
+	assert.Equal(t, get(t, conn, "b"), "", "a failed batch is one transaction and leaves nothing")
+	assert.NilError(t, conn.Ping(ctx))
+}
+
+// Guards the isolation of transactions and the answers to conflicting ones.
+func TestTransactions(t *testing.T) {
+	db := startGroup(t, testSettings("a"))[0]
+	ctx, one, two := testContext(t), mustConnect(t, db), mustConnect(t, db)
+	put(t, one, "k", "0")
+	tx, err := one.Begin(ctx)
+	assert.NilError(t, err)
+	_, err = tx.Exec(ctx, upsertSQL, "k", "1")
+	assert.NilError(t, err)
+	assert.Equal(t, get(t, two, "k"), "0")
+	put(t, two, "k", "2")
+	assert.Equal(t, code(tx.Commit(ctx)), "40001")
+	assert.Equal(t, get(t, one, "k"), "2")
+
+	tx, err = one.BeginTx(ctx, pgx.TxOptions{AccessMode: pgx.ReadOnly})
+	assert.NilError(t, err)
+	_, err = tx.Exec(ctx, upsertSQL, "k", "3")
+	assert.Equal(t, code(err), "25006")
+	_, err = tx.Exec(ctx, "SELECT 1")
+	assert.Equal(t, code(err), "25P02")
+	assert.NilError(t, tx.Rollback(ctx))
+
+	_, err = one.PgConn().Exec(ctx, "SET default_transaction_read_only = on").ReadAll()
+	assert.NilError(t, err)
+	_, err = one.Exec(ctx, upsertSQL, "k", "4")
+	assert.Equal(t, code(err), "25006")
+	const reset = "RESET ALL; CLOSE ALL; UNLISTEN *; DISCARD TEMP; DISCARD SEQUENCES; SELECT pg_advisory_unlock_all()"
+	_, err = one.PgConn().Exec(ctx, reset).ReadAll()
+	assert.NilError(t, err)
+	put(t, one, "k", "5")
+	assert.Equal(t, get(t, two, "k"), "5")
+}
+
+// Guards COPY in both directions, in the text and in the binary format.
+func TestCopy(t *testing.T) {
+	db := startGroup(t, testSettings("a"))[0]
+	ctx, conn := testContext(t), mustConnect(t, db)
+	n, err := conn.CopyFrom(ctx, pgx.Identifier{"kv"}, []string{"key", "value"}, pgx.CopyFromRows([][]any{{"a", "1"}, {"b", "2"}}))
+	assert.NilError(t, err)
+	assert.Equal(t, n, int64(2))
+	tag, err := conn.PgConn().CopyFrom(ctx, strings.NewReader("c\t3\nd\t4\\t5\n"), "COPY kv FROM STDIN")
+	assert.NilError(t, err)
+	assert.Equal(t, tag.String(), "COPY 2")
+	var out bytes.Buffer
+	_, err = conn.PgConn().CopyTo(ctx, &out, "COPY kv TO STDOUT")
+	assert.NilError(t, err)
+	assert.Equal(t, out.String(), "a\t1\nb\t2\nc\t3\nd\t4\\t5\n")
+}
+
+// Guards replication, its delays and the position that a majority holds.
+func TestReplicationAndHeld(t *testing.T) {
+	a, b, c := startThree(t)
+	conn := mustConnect(t, a)
+	b.SetApplying(false)
+	c.Pause()
+	eventually(t, "b holds the first entry", func() bool { return a.Status().Held == a.Status().Position })
+	put(t, conn, "k", "1")
+	eventually(t, "majority holds the write", func() bool { return a.Status().Held == a.Status().Position })
+	assert.Assert(t, b.Status().Position < b.Status().Received, "b received the write but did not apply it")
+	assert.Equal(t, get(t, mustConnect(t, b), "k"), "")
+	b.SetApplying(true)
+	eventually(t, "b applies", func() bool { return b.Status().Position == a.Status().Position })
+	assert.Equal(t, get(t, mustConnect(t, b), "k"), "1")
+
+	b.Isolate("a")
+	put(t, conn, "k", "2")
+	time.Sleep(50 * time.Millisecond)
+	assert.Assert(t, a.Status().Held < a.Status().Position, "no replica holds the write")
+	b.Rejoin()
+	c.Resume()
+	eventually(t, "both catch up", func() bool {
+		return a.Status().Held == a.Status().Position && c.Status().Position == a.Status().Position
+	})
+	_, err := mustConnect(t, b).Exec(testContext(t), upsertSQL, "k", "3")
+	assert.Equal(t, code(err), "25006")
+}
+
+// Guards against a fenced database that still takes the log of its old
+// primary, a promotion outside the adopted term, and a tail of the old term
+// that outranks or survives the new term's log.
+func TestFencePromoteFollow(t *testing.T) {
+	a, b, c := startThree(t)
+	ctx := testContext(t)
+	conn := mustConnect(t, a)
+	put(t, conn, "k", "common")
+	eventually(t, "replicated", func() bool {
+		p := a.Status().Position
+		return b.Status().Received == p && c.Status().Received == p
+	})
+	mb, mc, ma := monitor(t, b), monitor(t, c), monitor(t, a)
+	for _, m := range []*dbconn.Conn{mb, mc} {
+		status, err := m.Fence(ctx, 2)
+		assert.NilError(t, err)
+		assert.Equal(t, status.Term, uint64(2))
+		assert.Equal(t, status.Role, dbconn.Detached)
+		assert.Equal(t, status.Received, a.Status().Position)
+	}
+	heldBefore := a.Status().Held
+	for i := range 5 {
+		put(t, conn, "k", fmt.Sprint("lost ", i))
+	}
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, a.Status().Held, heldBefore, "fenced databases must not hold the old primary's writes")
+
+	assert.Equal(t, code(mb.Promote(ctx, 3)), "55000")
+	assert.NilError(t, mb.Promote(ctx, 2))
+	assert.NilError(t, mc.Follow(ctx, 2, "b"))
+	put(t, mustConnect(t, b), "n", "new")
+	eventually(t, "majority of the new term", func() bool { return b.Status().Held == b.Status().Position })
+
+	old, err := ma.Fence(ctx, 3)
+	assert.NilError(t, err)
+	assert.Assert(t, old.Received < c.Status().Received, "the long tail of term 1 must rank below term 2")
+	_, err = conn.Exec(ctx, upsertSQL, "k", "after fence")
+	assert.Equal(t, code(err), "25006")
+	assert.Equal(t, code(ma.Follow(ctx, 2, "b")), "55000")
+	for _, m := range []*dbconn.Conn{mb, mc} {
+		_, err := m.Fence(ctx, 3)
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, mb.Promote(ctx, 3))
+	assert.NilError(t, ma.Follow(ctx, 3, "b"))
+	assert.NilError(t, mc.Follow(ctx, 3, "b"))
+	eventually(t, "old primary follows", func() bool { return a.Status().Position == b.Status().Position })
+	fresh := mustConnect(t, a)
+	assert.Equal(t, get(t, fresh, "k"), "common", "the lost tail is undone")
+	assert.Equal(t, get(t, fresh, "n"), "new")
+}
+
+// Guards a primary that returns after a crash: it keeps its log and its term
+// and cannot get writes held once a majority has adopted a higher term.
+func TestKillRestart(t *testing.T) {
+	a, b, c := startThree(t)
+	ctx := testContext(t)
+	put(t, mustConnect(t, a), "k", "1")
+	a.Kill()
+	for _, db := range []*Database{b, c} {
+		_, err := monitor(t, db).Fence(ctx, 2)
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, a.Restart())
+	conn := mustConnect(t, a)
+	assert.Equal(t, get(t, conn, "k"), "1")
+	put(t, conn, "k", "2")
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, a.Status().Role, "primary")
+	assert.Assert(t, a.Status().Held < a.Status().Position)
+}
+
+// Guards the connection limit and that evict closes exactly the data
+// connections of older epochs.
+func TestConnectionLimitAndEvict(t *testing.T) {
+	s := testSettings("a")
+	s.Connections, s.Authentication = 4, AuthenticationMD5
+	db := startGroup(t, s)[0]
+	ctx := testContext(t)
+	old, err := connect(t, db, "cranberryhinge/h1/3")
+	assert.NilError(t, err)
+	current, err := connect(t, db, "cranberryhinge/h2/4")
+	assert.NilError(t, err)
+	oldMonitor, err := connect(t, db, "cranberryhinge/h1/monitor")
+	assert.NilError(t, err)
+	m := monitor(t, db)
+	_, err = connect(t, db, "cranberryhinge/h3/5")
+	assert.Equal(t, code(err), "53300")
+
+	tx, err := old.Begin(ctx)
+	assert.NilError(t, err)
+	_, err = tx.Exec(ctx, upsertSQL, "k", "evicted")
+	assert.NilError(t, err)
+	assert.NilError(t, m.Evict(ctx, 4))
+	status, err := m.Status(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, status.Connections, 3)
+	assert.Equal(t, code(tx.Commit(ctx)), "57P01")
+	assert.NilError(t, oldMonitor.Ping(ctx))
+	assert.Equal(t, get(t, current, "k"), "")
+	r := db.Record()
+	assert.Equal(t, r.MaxConnections, 4)
+	assert.Equal(t, r.Refused, 1)
+	assert.Equal(t, r.Evicted, 1)
+}
+
+// Guards the number of slots, the record of what clients sent, and cancel
+// requests.
+func TestSlotsRecordAndCancel(t *testing.T) {
+	s := testSettings("a")
+	s.Slots, s.ServiceTime = 2, Fixed(30*time.Millisecond)
+	db := startGroup(t, s)[0]
+	db.Watch("caller key")
+	ctx := testContext(t)
+	begin := time.Now()
+	done := make(chan error, 6)
+	for range cap(done) {
+		conn := mustConnect(t, db)
+		go func() {
+			_, err := conn.Exec(ctx, "SELECT $1::text", "x")
+			done <- err
+		}()
+	}
+	for range cap(done) {
+		assert.NilError(t, <-done)
+	}
+	assert.Assert(t, time.Since(begin) >= 90*time.Millisecond)
+	r := db.Record()
+	assert.Equal(t, r.MaxRunning, 2)
+	assert.Assert(t, r.MaxOffered > 2)
+	assert.Equal(t, r.Startups[0].Password, testCredentials.Password)
+	assert.Equal(t, r.Startups[0].Parameters["application_name"], "test")
+	assert.Equal(t, r.Sightings, 0)
+
+	conn := mustConnect(t, db)
+	_, err := conn.Exec(ctx, "SELECT $1::text", "the caller key is here")
+	assert.NilError(t, err)
+	assert.Equal(t, db.Record().Sightings, 1)
+	time.AfterFunc(100*time.Millisecond, func() { _ = conn.PgConn().CancelRequest(ctx) })
+	_, err = conn.Exec(ctx, "SELECT pg_sleep($1)", 20.0)
+	assert.Equal(t, code(err), "57014")
+	assert.NilError(t, conn.Ping(ctx))
+}
+
+// Guards the faults: a paused database commits nothing, a silent connection
+// gives no answer while new connections work.
+func TestPauseAndSilence(t *testing.T) {
+	db := startGroup(t, testSettings("a"))[0]
+	ctx := testContext(t)
+	conn := mustConnect(t, db)
+	put(t, conn, "k", "1")
+	db.Pause()
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(ctx, upsertSQL, "k", "2")
+		done <- err
+	}()
+	time.Sleep(30 * time.Millisecond)
+	assert.Equal(t, db.Record().Commits, 1)
+	db.Resume()
+	assert.NilError(t, <-done)
+
+	db.SilenceClients()
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	_, err := conn.Exec(short, upsertSQL, "k", "3")
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded))
+	assert.Equal(t, get(t, mustConnect(t, db), "k"), "2")
+}
+
+// Guards the decoding of settings: durations with units, and no unknown field.
+func TestParseDatabaseSettings(t *testing.T) {
+	s, err := ParseDatabaseSettings([]byte(
+		"name: a\naddress: 127.0.0.1:0\npeers: {b: '127.0.0.1:2'}\nconnect_delay: 10ms\napply_delay: {min: 1ms, max: 5ms}\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.ConnectDelay, 10*time.Millisecond)
+	assert.Equal(t, s.ApplyDelay, Range{Min: time.Millisecond, Max: 5 * time.Millisecond})
+	_, err = ParseDatabaseSettings([]byte("nmae: a\n"))
+	assert.ErrorContains(t, err, "nmae")
+}
