--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,207 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/platform/platformpb"
+)
+
+// defaultTimeout bounds a call whose context has no earlier deadline.
+const defaultTimeout = time.Second
+
+// overdueLimit is the number of calls in a row without any answer after which
+// the connection is replaced. grpc-go pings no more often than every 10 s, so
+// its keep-alive finds a silent connection too late for a lease of 3 s.
+const overdueLimit = 2
+
+// Bounds of the pause between attempts to connect.
+const (
+	reconnectBase = 50 * time.Millisecond
+	reconnectMax  = time.Second
+)
+
+// ClientOptions describe a client of the platform.
+type ClientOptions struct {
+	Address string
+	// Host names the caller.
+	Host string
+	// Timeout bounds each call; zero means one second.
+	Timeout time.Duration
+}
+
+// Client reaches the platform over gRPC. Every call has a deadline.
+type Client struct {
+	options ClientOptions
+
+	mu      sync.Mutex
+	conn    *grpc.ClientConn
+	overdue int
+	closed  bool
+}
+
+// NewClient returns a client; it connects in the background.
+func NewClient(options ClientOptions) (*Client, error) {
+	if options.Timeout == 0 {
+		options.Timeout = defaultTimeout
+	}
+	c := &Client{options: options}
+	conn, err := c.dial()
+	if err != nil {
+		return nil, err
+	}
+	c.conn = conn
+	return c, nil
+}
+
+func (c *Client) dial() (*grpc.ClientConn, error) {
+	conn, err := grpc.NewClient(
+		"passthrough:///"+c.options.Address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithUserAgent(c.options.Host),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: reconnectBase, Multiplier: 2, Jitter: 0.5, MaxDelay: reconnectMax},
+			MinConnectTimeout: c.options.Timeout,
+		}),
+	)
+	return conn, errors.Wrapf(err, "platform at %s", c.options.Address)
+}
+
+// Close ends the connection.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	return c.conn.Close()
+}
+
+// Access returns the ports.
+func (c *Client) Access() Access {
+	return Access{Tables: clientTables{c}, Objects: clientObjects{c}, Hosts: clientHosts{c}}
+}
+
+// invoke runs one call under a deadline.
+func invoke[In, Out any](
+	ctx context.Context, c *Client, in In,
+	call func(platformpb.PlatformClient, context.Context, In, ...grpc.CallOption) (Out, error),
+) (Out, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	out, err := call(platformpb.NewPlatformClient(conn), ctx, in)
+	c.observe(conn, err)
+	return out, errors.Wrap(err, "platform")
+}
+
+// observe replaces a connection that stays silent.
+func (c *Client) observe(conn *grpc.ClientConn, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn != c.conn || c.closed {
+		return
+	}
+	if status.Code(err) != codes.DeadlineExceeded {
+		c.overdue = 0
+		return
+	}
+	if c.overdue++; c.overdue < overdueLimit {
+		return
+	}
+	fresh, dialErr := c.dial()
+	if dialErr != nil {
+		return
+	}
+	c.conn, c.overdue = fresh, 0
+	// Calls on the old connection end by their own deadlines first.
+	time.AfterFunc(c.options.Timeout, func() { conn.Close() })
+}
+
+type clientTables struct{ client *Client }
+
+func (t clientTables) Get(ctx context.Context, key string) (Row, error) {
+	out, err := invoke(ctx, t.client, &platformpb.GetRequest{Key: key}, platformpb.PlatformClient.Get)
+	if err != nil {
+		return Row{}, err
+	}
+	return rowFromProto(out.GetRow()), nil
+}
+
+func (t clientTables) Scan(ctx context.Context, prefix string, after Revision) ([]Row, error) {
+	in := &platformpb.ScanRequest{Prefix: prefix, After: uint64(after)}
+	out, err := invoke(ctx, t.client, in, platformpb.PlatformClient.Scan)
+	if err != nil {
+		return nil, err
+	}
+	rows := make([]Row, 0, len(out.GetRows()))
+	for _, row := range out.GetRows() {
+		rows = append(rows, rowFromProto(row))
+	}
+	return rows, nil
+}
+
+func (t clientTables) CompareAndSwap(ctx context.Context, key string, expect Revision, value []byte) (Revision, error) {
+	in := &platformpb.CompareAndSwapRequest{Key: key, Expect: uint64(expect), Value: value}
+	out, err := invoke(ctx, t.client, in, platformpb.PlatformClient.CompareAndSwap)
+	switch {
+	case err != nil:
+		return 0, err
+	case out.GetConflict():
+		return 0, ErrConflict
+	}
+	return Revision(out.GetRevision()), nil
+}
+
+func (t clientTables) Delete(ctx context.Context, key string, expect Revision) error {
+	in := &platformpb.DeleteRequest{Key: key, Expect: uint64(expect)}
+	out, err := invoke(ctx, t.client, in, platformpb.PlatformClient.Delete)
+	if err == nil && out.GetConflict() {
+		return ErrConflict
+	}
+	return err
+}
+
+func rowFromProto(r *platformpb.Row) Row {
+	return Row{Key: r.GetKey(), Value: r.GetValue(), Revision: Revision(r.GetRevision())}
+}
+
+type clientObjects struct{ client *Client }
+
+func (o clientObjects) Put(ctx context.Context, key string, data []byte) error {
+	_, err := invoke(ctx, o.client, &platformpb.PutObjectRequest{Key: key, Data: data}, platformpb.PlatformClient.PutObject)
+	return err
+}
+
+func (o clientObjects) Get(ctx context.Context, key string) ([]byte, error) {
+	out, err := invoke(ctx, o.client, &platformpb.GetObjectRequest{Key: key}, platformpb.PlatformClient.GetObject)
+	if err == nil && !out.GetFound() {
+		return nil, ErrNotFound
+	}
+	return out.GetData(), err
+}
+
+type clientHosts struct{ client *Client }
+
+func (h clientHosts) Hosts(ctx context.Context) ([]ListedHost, error) {
+	out, err := invoke(ctx, h.client, &platformpb.HostsRequest{}, platformpb.PlatformClient.Hosts)
+	if err != nil {
+		return nil, err
+	}
+	hosts := make([]ListedHost, 0, len(out.GetHosts()))
+	for _, l := range out.GetHosts() {
+		hosts = append(hosts, ListedHost{Name: l.GetName(), Address: l.GetAddress(), Zone: l.GetZone(), Leaving: l.GetLeaving()})
+	}
+	return hosts, nil
+}
--- /dev/null
+++ b/internal/platform/server.go
@@ -0,0 +1,132 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/platform/platformpb"
+)
+
+// maxMessageBytes bounds a gRPC message in both directions. Configuration
+// documents are the largest.
+const maxMessageBytes = 16 << 20
+
+const (
+	serverPingInterval = 2 * time.Second
+	serverPingTimeout  = 2 * time.Second
+)
+
+// Serve serves the fake over gRPC until the context ends. It closes the
+// listener. The first word of the user agent names the calling host.
+func Serve(ctx context.Context, listener net.Listener, fake *Fake) error {
+	server := grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverPingInterval, Timeout: serverPingTimeout}),
+	)
+	platformpb.RegisterPlatformServer(server, &platformServer{fake: fake})
+	stop := context.AfterFunc(ctx, server.Stop)
+	defer stop()
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		return errors.Wrap(err, "platform server")
+	}
+	return nil
+}
+
+type platformServer struct {
+	platformpb.UnimplementedPlatformServer
+	fake *Fake
+}
+
+func (s *platformServer) access(ctx context.Context) Access {
+	host := ""
+	if agents := metadata.ValueFromIncomingContext(ctx, "user-agent"); len(agents) > 0 {
+		host, _, _ = strings.Cut(agents[0], " ")
+	}
+	return s.fake.For(host)
+}
+
+// unavailable turns an error of the fake into a gRPC status.
+func unavailable(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return status.FromContextError(errors.Cause(err)).Err()
+	}
+	return status.Error(codes.Unavailable, err.Error())
+}
+
+func rowToProto(r Row) *platformpb.Row {
+	return &platformpb.Row{Key: r.Key, Value: r.Value, Revision: uint64(r.Revision)}
+}
+
+func (s *platformServer) Get(ctx context.Context, in *platformpb.GetRequest) (*platformpb.GetResponse, error) {
+	row, err := s.access(ctx).Tables.Get(ctx, in.GetKey())
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return &platformpb.GetResponse{Row: rowToProto(row)}, nil
+}
+
+func (s *platformServer) Scan(ctx context.Context, in *platformpb.ScanRequest) (*platformpb.ScanResponse, error) {
+	rows, err := s.access(ctx).Tables.Scan(ctx, in.GetPrefix(), Revision(in.GetAfter()))
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	out := &platformpb.ScanResponse{}
+	for _, row := range rows {
+		out.Rows = append(out.Rows, rowToProto(row))
+	}
+	return out, nil
+}
+
+func (s *platformServer) CompareAndSwap(ctx context.Context, in *platformpb.CompareAndSwapRequest) (*platformpb.CompareAndSwapResponse, error) {
+	revision, err := s.access(ctx).Tables.CompareAndSwap(ctx, in.GetKey(), Revision(in.GetExpect()), in.GetValue())
+	if errors.Is(err, ErrConflict) {
+		return &platformpb.CompareAndSwapResponse{Conflict: true}, nil
+	}
+	return &platformpb.CompareAndSwapResponse{Revision: uint64(revision)}, unavailable(err)
+}
+
+func (s *platformServer) Delete(ctx context.Context, in *platformpb.DeleteRequest) (*platformpb.DeleteResponse, error) {
+	err := s.access(ctx).Tables.Delete(ctx, in.GetKey(), Revision(in.GetExpect()))
+	if errors.Is(err, ErrConflict) {
+		return &platformpb.DeleteResponse{Conflict: true}, nil
+	}
+	return &platformpb.DeleteResponse{}, unavailable(err)
+}
+
+func (s *platformServer) PutObject(ctx context.Context, in *platformpb.PutObjectRequest) (*platformpb.PutObjectResponse, error) {
+	err := s.access(ctx).Objects.Put(ctx, in.GetKey(), in.GetData())
+	return &platformpb.PutObjectResponse{}, unavailable(err)
+}
+
+func (s *platformServer) GetObject(ctx context.Context, in *platformpb.GetObjectRequest) (*platformpb.GetObjectResponse, error) {
+	data, err := s.access(ctx).Objects.Get(ctx, in.GetKey())
+	if errors.Is(err, ErrNotFound) {
+		return &platformpb.GetObjectResponse{}, nil
+	}
+	return &platformpb.GetObjectResponse{Data: data, Found: err == nil}, unavailable(err)
+}
+
+func (s *platformServer) Hosts(ctx context.Context, _ *platformpb.HostsRequest) (*platformpb.HostsResponse, error) {
+	hosts, err := s.access(ctx).Hosts.Hosts(ctx)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	out := &platformpb.HostsResponse{}
+	for _, h := range hosts {
+		out.Hosts = append(out.Hosts, &platformpb.ListedHost{Name: h.Name, Address: h.Address, Zone: h.Zone, Leaving: h.Leaving})
+	}
+	return out, nil
+}
