--- a/internal/standin/sql.go
+++ b/internal/standin/sql.go
@@ -4,6 +4,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/jackc/pgx/v5/pgtype"
 )
@@ -275,8 +276,43 @@
 	return strings.TrimRight(sql, "; \t\r\n")
 }
 
-// parse recognises one statement.
+// Bounds of the cache of parsed statements. Only statements up to the length
+// are kept, so that literals of bulk loads do not fill the memory.
+const (
+	parseCacheEntries = 4096
+	parseCacheBytes   = 512
+)
+
+var parseCache struct {
+	sync.Mutex
+	statements map[string]*statement
+}
+
+// parse recognises one statement. A parsed statement is never changed.
 func parse(sql string) (*statement, *sqlError) {
+	if len(sql) > parseCacheBytes {
+		return recognise(sql)
+	}
+	parseCache.Lock()
+	st, ok := parseCache.statements[sql]
+	parseCache.Unlock()
+	if ok {
+		return st, nil
+	}
+	st, err := recognise(sql)
+	if err != nil {
+		return nil, err
+	}
+	parseCache.Lock()
+	defer parseCache.Unlock()
+	if parseCache.statements == nil || len(parseCache.statements) >= parseCacheEntries {
+		parseCache.statements = make(map[string]*statement)
+	}
+	parseCache.statements[sql] = st
+	return st, nil
+}
+
+func recognise(sql string) (*statement, *sqlError) {
 	sql = trim(sql)
 	if sql == "" {
 		return &statement{kind: kindEmpty}, nil
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
+	"github.com/cranberryhinge/cranberryhinge/internal/faultnet"
 )
 
 var testCredentials = dbconn.Credentials{User: "proxy", Password: "backend secret", Database: "kv"}
@@ -397,6 +398,30 @@
 	assert.Equal(t, get(t, mustConnect(t, db), "k"), "2")
 }
 
+// Guards replication over addresses given in the settings, and its recovery
+// from a link that went silent without being closed.
+func TestSilentReplicationLink(t *testing.T) {
+	a := startGroup(t, testSettings("a"))[0]
+	relay, err := faultnet.Listen("", a.Address())
+	assert.NilError(t, err)
+	t.Cleanup(relay.Close)
+	s := testSettings("b")
+	s.Peers = map[string]string{"a": relay.Address()}
+	b, err := Start(s)
+	assert.NilError(t, err)
+	t.Cleanup(b.Kill)
+	a.SetPeers(map[string]string{"b": b.Address()})
+	conn := mustConnect(t, a)
+	put(t, conn, "k", "1")
+	eventually(t, "b holds the write", func() bool { return a.Status().Held == a.Status().Position })
+	relay.Set(faultnet.Silent)
+	put(t, conn, "k", "2")
+	time.Sleep(50 * time.Millisecond)
+	assert.Assert(t, a.Status().Held < a.Status().Position)
+	relay.Set(faultnet.Pass)
+	eventually(t, "b reconnects", func() bool { return a.Status().Held == a.Status().Position })
+}
+
 // Guards the decoding of settings: durations with units, and no unknown field.
 func TestParseDatabaseSettings(t *testing.T) {
 	s, err := ParseDatabaseSettings([]byte(
