--- a/internal/standin/contract.go
+++ b/internal/standin/contract.go
@@ -69,6 +69,7 @@
 		db.applyNext()
 	}
 	db.role, db.primary = rolePrimary, ""
+	db.journalState()
 	db.acks = make(map[string]uint64)
 	db.commit(entry{Term: db.term, Index: db.last() + 1})
 	db.termStart = db.last()
@@ -78,6 +79,7 @@
 // commit appends an entry on a primary.
 func (db *Database) commit(e entry) {
 	db.entries = append(db.entries, e)
+	db.journal(journalRecord{Entry: &e})
 	db.data.apply(e)
 	db.applied = e.Index
 	db.changed()
@@ -97,6 +99,7 @@
 		return
 	}
 	db.entries = db.entries[:index:index]
+	db.journal(journalRecord{Keep: &index})
 	if db.applied > index {
 		db.data.truncate(index)
 		db.applied = index
@@ -113,6 +116,7 @@
 	}
 	db.term = term
 	db.role, db.primary = roleDetached, ""
+	db.journalState()
 	db.relink()
 }
 
@@ -142,6 +146,7 @@
 		return nil
 	}
 	db.term, db.role, db.primary = term, roleReplica, primary
+	db.journalState()
 	db.relink()
 	return nil
 }
--- a/internal/standin/controls.go
+++ b/internal/standin/controls.go
@@ -106,7 +106,8 @@
 	Password string
 }
 
-// Record is what the database saw of its clients.
+// Record is what the database saw of its clients. The statement
+// SHOW standin.record returns it as JSON.
 type Record struct {
 	Startups []Startup
 	// MaxConnections is the largest number of connections open at once.
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -57,6 +57,7 @@
 	running   int
 	record    Record
 	watched   []string
+	disk      *journal
 }
 
 // life is the time between a start and the next Kill.
@@ -89,12 +90,12 @@
 		sessions: make(map[uint32]*session),
 	}
 	db.resume = sync.NewCond(&db.mu)
-	switch settings.Primary {
-	case "":
-	case settings.Name:
-		db.becomePrimary()
-	default:
-		db.role, db.primary = roleReplica, settings.Primary
+	recovered, err := db.recover()
+	if err != nil {
+		return nil, err
+	}
+	if !recovered {
+		db.initialise()
 	}
 	if err := db.Restart(); err != nil {
 		return nil, err
@@ -102,6 +103,19 @@
 	return db, nil
 }
 
+// initialise takes term and role from the settings.
+func (db *Database) initialise() {
+	switch db.settings.Primary {
+	case "":
+	case db.settings.Name:
+		db.becomePrimary()
+		return
+	default:
+		db.role, db.primary = roleReplica, db.settings.Primary
+	}
+	db.journalState()
+}
+
 // RunDatabase runs a database until the context ends.
 func RunDatabase(ctx context.Context, settings DatabaseSettings) error {
 	db, err := Start(settings)
@@ -110,6 +124,9 @@
 	}
 	<-ctx.Done()
 	db.Kill()
+	if db.disk != nil {
+		return errors.Wrap(db.disk.file.Close(), "journal")
+	}
 	return nil
 }
 
--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -4,5 +4,5 @@
 // asynchronous replication, fencing and promotion.
 //
 // A database keeps its log in memory. Kill and Restart keep the log, as a disk
-// would; the end of the process loses it.
+// would. The end of the process loses it unless the settings name a journal.
 package standin
--- a/internal/standin/exec.go
+++ b/internal/standin/exec.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"strconv"
@@ -523,6 +524,12 @@
 		return "repeatable read", nil
 	case "server_version":
 		return "16.0", nil
+	case "standin.record":
+		text, err := json.Marshal(s.db.Record())
+		if err != nil {
+			return "", failf("XX000", "record: %v", err)
+		}
+		return string(text), nil
 	}
 	v, ok := s.settings[canonical(s.settings, name)]
 	if !ok {
--- a/internal/standin/replicate.go
+++ b/internal/standin/replicate.go
@@ -354,6 +354,7 @@
 			return errors.Errorf("entry %d after %d", e.Index, db.last())
 		}
 		db.entries = append(db.entries, e)
+		db.journal(journalRecord{Entry: &e})
 		db.due = append(db.due, now.Add(db.dice.draw(db.settings.ApplyDelay)))
 	}
 	if len(batch) > 0 {
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -63,6 +63,9 @@
 	ApplyDelay     Range         `yaml:"apply_delay"`
 	AnswerDelay    time.Duration `yaml:"answer_delay"`
 	SilentTimeout  time.Duration `yaml:"silent_timeout"`
+	// Journal is a file that keeps term, role and log across the end of the
+	// process. Without it a process that starts again has lost its data.
+	Journal string `yaml:"journal"`
 	// Seed makes the drawn delays repeatable.
 	Seed uint64 `yaml:"seed"`
 }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/url"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -422,6 +425,70 @@
 	eventually(t, "b reconnects", func() bool { return a.Status().Held == a.Status().Position })
 }
 
+// Guards a database process that is killed and started again: journal and all,
+// with a tail that it discarded and a last line that was cut off.
+func TestJournal(t *testing.T) {
+	a, b := testSettings("a"), testSettings("b")
+	b.Journal = filepath.Join(t.TempDir(), "journal")
+	group := startGroup(t, a, b)
+	ctx := testContext(t)
+	put(t, mustConnect(t, group[0]), "k", "1")
+	caughtUp := func() bool { return group[1].Status().Position == group[0].Status().Position }
+	eventually(t, "b catches up", caughtUp)
+	m := monitor(t, group[1])
+	_, err := m.Fence(ctx, 2)
+	assert.NilError(t, err)
+	assert.NilError(t, m.Promote(ctx, 2))
+	put(t, mustConnect(t, group[1]), "k", "lost")
+	_, err = m.Fence(ctx, 3)
+	assert.NilError(t, err)
+	ma := monitor(t, group[0])
+	_, err = ma.Fence(ctx, 3)
+	assert.NilError(t, err)
+	assert.NilError(t, ma.Promote(ctx, 3))
+	assert.NilError(t, m.Follow(ctx, 3, "a"))
+	eventually(t, "b catches up", caughtUp)
+	group[1].Kill()
+	file, err := os.OpenFile(b.Journal, os.O_APPEND|os.O_WRONLY, 0)
+	assert.NilError(t, err)
+	_, err = file.WriteString(`{"entry":{"Term":9`)
+	assert.NilError(t, err)
+	assert.NilError(t, file.Close())
+
+	b.Peers = map[string]string{"a": group[0].Address()}
+	again, err := Start(b)
+	assert.NilError(t, err)
+	t.Cleanup(again.Kill)
+	status := again.Status()
+	assert.Equal(t, status.Term, uint64(3))
+	assert.Equal(t, status.Role, "replica")
+	assert.Equal(t, status.Position, group[0].Status().Position)
+	assert.Equal(t, get(t, mustConnect(t, again), "k"), "1")
+}
+
+// Guards the entry point of the command line: it serves until its context ends.
+func TestRunDatabase(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := testSettings("a")
+	s.Address = listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	ctx, cancel := context.WithCancel(testContext(t))
+	done := make(chan error, 1)
+	go func() { done <- RunDatabase(ctx, s) }()
+	var conn *dbconn.Conn
+	eventually(t, "the database listens", func() bool {
+		conn, err = dbconn.Dial(ctx, s.Address, testCredentials, "test")
+		return err == nil
+	})
+	defer conn.Close()
+	status, err := conn.Status(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, status.Role, dbconn.Primary)
+	cancel()
+	assert.NilError(t, <-done)
+}
+
 // Guards the decoding of settings: durations with units, and no unknown field.
 func TestParseDatabaseSettings(t *testing.T) {
 	s, err := ParseDatabaseSettings([]byte(
