Add home host: Run streams over backend connections

One transaction per stream, with freshness checks ahead of the first byte, write confirmation before the acknowledgement, shared prepared statements, reset between streams and cancel. The queue is first come, first served for now.

--- /dev/null
+++ b/internal/home/cancel.go
@@ -0,0 +1,46 @@
+package home
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// cancelTimeout bounds the delivery of one cancel request.
+const cancelTimeout = time.Second
+
+// cancelRunning cancels the batch of the stream if it runs on the backend
+// server now. The connection serves no other stream afterwards, because the
+// cancel request may take effect after the batch has ended.
+func (r *run) cancelRunning() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.active || r.finished {
+		return
+	}
+	c := r.conn
+	c.markRetired()
+	r.p.wg.Go(func() { r.p.sendCancel(c) })
+}
+
+// sendCancel delivers a cancel request for what runs on the connection.
+func (p *pool) sendCancel(c *conn) {
+	ctx, cancel := context.WithTimeout(p.ctx, cancelTimeout)
+	defer cancel()
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", p.server.Address)
+	if err != nil {
+		p.h.opt.Log.Warn().Str("server", p.server.Name).Err(err).Msg("cancel request")
+		return
+	}
+	defer func() { _ = nc.Close() }()
+	_ = nc.SetDeadline(time.Now().Add(cancelTimeout))
+	if _, err := nc.Write(encode(nil, &pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret})); err != nil {
+		return
+	}
+	// The backend server closes the connection once it has acted.
+	var b [1]byte
+	_, _ = nc.Read(b[:])
+}
--- /dev/null
+++ b/internal/home/home.go
@@ -0,0 +1,171 @@
+package home
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/phuslu/log"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
+)
+
+// Authority says when the primary of a group may be used and when its answers
+// may leave. The owner shell implements it.
+type Authority interface {
+	// Writable returns the term in which the group's primary may be used now,
+	// or a NotRun error.
+	Writable(group, server string) (term uint64, err error)
+	// ConfirmWrite returns once a commit at the position may be acknowledged.
+	ConfirmWrite(ctx context.Context, group string, term, position uint64) error
+	// ConfirmRead returns once a read on the primary, sent after the call to
+	// Writable, may be answered.
+	ConfirmRead(ctx context.Context, group string, term uint64) error
+	// Age returns the age of the data of a replica that has applied the
+	// position, false when it is unknown or of another term.
+	Age(group string, term, position uint64) (time.Duration, bool)
+}
+
+// Options are the dependencies of a Home.
+type Options struct {
+	// Host is the name of this host, part of application_name.
+	Host        string
+	Credentials dbconn.Credentials
+	Authority   Authority
+	Log         *log.Logger
+	Counters    *telemetry.Counters
+	// OnEvicted, if set, is called when another home host evicted the
+	// connections to a server. The role row has to be read again; the server
+	// is served again after the next Hold.
+	OnEvicted func(server string)
+}
+
+// openers is the number of connections that one host opens at the same time.
+const openers = 32
+
+// Home serves the backend servers whose home role this host holds.
+type Home struct {
+	opt     Options
+	openers pond.Pool
+	ctx     context.Context
+	stop    context.CancelFunc
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	wg    sync.WaitGroup
+}
+
+// New returns a Home that serves no backend server yet.
+func New(opt Options) *Home {
+	if opt.Counters == nil {
+		opt.Counters = telemetry.NewCounters()
+	}
+	if opt.Log == nil {
+		opt.Log = &log.Logger{Level: log.PanicLevel}
+	}
+	h := &Home{opt: opt, openers: pond.NewPool(openers), pools: make(map[string]*pool)}
+	h.ctx, h.stop = context.WithCancel(context.Background())
+	return h
+}
+
+// Run returns when ctx has ended and every connection is closed.
+func (h *Home) Run(ctx context.Context) error {
+	<-ctx.Done()
+	h.mu.Lock()
+	h.stop()
+	h.mu.Unlock()
+	h.wg.Wait()
+	h.openers.StopAndWait()
+	return nil
+}
+
+// Hold starts serving a backend server, or changes its settings or epoch.
+func (h *Home) Hold(group string, server config.Server, epoch uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ctx.Err() != nil {
+		return
+	}
+	if p, ok := h.pools[server.Name]; ok && p.hold(group, server, epoch) {
+		return
+	}
+	p := newPool(h, group, server, epoch)
+	h.pools[server.Name] = p
+	h.wg.Go(p.run)
+}
+
+// Release stops new work for a backend server and lets open work end.
+func (h *Home) Release(server string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p, ok := h.pools[server]; ok {
+		p.drain()
+		delete(h.pools, server)
+	}
+}
+
+// pool returns the pool of a server whose role is held.
+func (h *Home) pool(server string) (*pool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p, ok := h.pools[server]
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.WrongHome, "%s is not the home host of %s", h.opt.Host, server)
+	}
+	return p, nil
+}
+
+// application is the application_name of the data connections of an epoch.
+func (h *Home) application(epoch uint64) string {
+	return fmt.Sprintf("cranberryhinge/%s/%d", h.opt.Host, epoch)
+}
+
+// Serve runs the transaction of one stream. A failure is reported on the
+// stream; the returned error is only that of the stream itself.
+func (h *Home) Serve(s peer.RunServerStream) error {
+	first, err := s.Recv()
+	if err != nil {
+		return err
+	}
+	start := first.GetStart()
+	if start == nil {
+		return sendFailure(s, verdict.New(verdict.NotRun, verdict.ProtocolViolation, "stream without start"))
+	}
+	p, err := h.pool(start.Server)
+	if err != nil {
+		h.opt.Counters.Refused(verdict.From(err).Reason)
+		return sendFailure(s, verdict.From(err))
+	}
+	r := newRun(h, p, s, start)
+	err = r.serve()
+	if err == nil {
+		return nil
+	}
+	if s.Context().Err() != nil {
+		return s.Context().Err()
+	}
+	e := verdict.From(err)
+	h.opt.Counters.Refused(e.Reason)
+	return sendFailure(s, e)
+}
+
+// Values of Failure.verdict.
+const (
+	failureMayHaveRun = 0
+	failureNotRun     = 1
+)
+
+func sendFailure(s peer.RunServerStream, e *verdict.Error) error {
+	f := &peerpb.Failure{Verdict: failureMayHaveRun, Reason: string(e.Reason), Message: e.Message}
+	if e.Verdict == verdict.NotRun {
+		f.Verdict = failureNotRun
+	}
+	return s.Send(&peerpb.RunResponse{Kind: &peerpb.RunResponse_Failure{Failure: f}})
+}
--- /dev/null
+++ b/internal/home/home_test.go
@@ -0,0 +1,176 @@
+package home
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
+)
+
+func wantFailure(t *testing.T, r result, v uint32, reason verdict.Reason) {
+	t.Helper()
+	assert.Assert(t, r.failure != nil, "no failure: %+v", r)
+	assert.Equal(t, r.failure.Reason, string(reason), r.failure.Message)
+	assert.Equal(t, r.failure.Verdict, v, r.failure.Message)
+}
+
+// Guards against a write being acknowledged without its position, or a stream
+// that stays open after the transaction.
+func TestWriteCarriesToken(t *testing.T) {
+	f := newFixture(t, nil)
+	c := f.writer().query("INSERT a")
+	r := c.result()
+	assert.Equal(t, r.types(), "C", "%+v", r.failure)
+	assert.Equal(t, byte(r.ready.Status), byte('I'))
+	assert.Equal(t, r.ready.Token.Position, uint64(1))
+	assert.Assert(t, c.ended())
+	assert.DeepEqual(t, f.auth.confirmed, []uint64{1})
+}
+
+// Guards against an acknowledgement that leaves before the confirmation.
+func TestWriteIsHeldUntilConfirmed(t *testing.T) {
+	f := newFixture(t, nil)
+	f.auth.blockWrites = make(chan struct{})
+	c := f.writer().query("INSERT a")
+	got := make(chan result, 1)
+	go func() { got <- c.result() }()
+	select {
+	case r := <-got:
+		t.Fatalf("answered before the confirmation: %+v", r)
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(f.auth.blockWrites)
+	assert.Equal(t, (<-got).types(), "C")
+}
+
+// Guards against an acknowledgement by an old primary.
+func TestUnconfirmedWriteMayHaveRun(t *testing.T) {
+	f := newFixture(t, nil)
+	f.auth.writeErr = verdict.New(verdict.MayHaveRun, verdict.AuthorityLost, "lease lapsed")
+	r := f.writer().query("INSERT a").result()
+	assert.Equal(t, r.types(), "")
+	wantFailure(t, r, failureMayHaveRun, verdict.AuthorityLost)
+}
+
+// Guards against a write that the backend server refused as not primary being
+// reported as possibly run, which would keep it from running on the new primary.
+func TestWriteOnDemotedPrimaryIsNotRun(t *testing.T) {
+	f := newFixture(t, nil)
+	f.srv.with(func() { f.srv.role = dbconn.Replica })
+	wantFailure(t, f.writer().query("INSERT a").result(), failureNotRun, verdict.NoPrimary)
+}
+
+// Guards against a transaction whose statements change connection, and against
+// a connection that stays open after its entry host went away.
+func TestTransactionKeepsConnectionAndDiesWithEntry(t *testing.T) {
+	f := newFixture(t, nil)
+	c := f.writer().query("BEGIN")
+	assert.Equal(t, byte(c.result().ready.Status), byte('T'))
+	assert.Equal(t, byte(c.query("INSERT a").result().ready.Status), byte('T'))
+	r := c.query("COMMIT").result()
+	assert.Equal(t, byte(r.ready.Status), byte('I'))
+	assert.Equal(t, r.ready.Token.Position, uint64(1))
+
+	c = f.writer().query("BEGIN")
+	assert.Equal(t, byte(c.result().ready.Status), byte('T'))
+	var pinned *session
+	f.srv.with(func() {
+		for s := range f.srv.sessions {
+			if s.tx == 'T' {
+				pinned = s
+			}
+		}
+	})
+	c.cancel()
+	assert.Assert(t, eventually(func() (gone bool) {
+		f.srv.with(func() { gone = !f.srv.sessions[pinned] })
+		return gone
+	}))
+}
+
+func eventually(ok func() bool) bool {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok() {
+			return true
+		}
+	}
+	return ok()
+}
+
+// Guards against stale reads, and against "not run" for a read that was sent.
+func TestReplicaReadChecks(t *testing.T) {
+	f := newFixture(t, nil)
+	f.srv.with(func() { f.srv.role, f.srv.position = dbconn.Replica, 10 })
+	f.auth.age = 100 * time.Millisecond
+	floor := func(term, position uint64) *peerpb.Token { return &peerpb.Token{Term: term, Position: position} }
+
+	r := f.reader(time.Second, floor(1, 10)).query("SELECT a").result()
+	assert.Equal(t, r.types(), "TDC", "%+v", r.failure)
+	assert.Equal(t, r.accepted.AgeUs, int64(100_000))
+	wantFailure(t, f.reader(time.Second, floor(1, 11)).query("SELECT b").result(), failureNotRun, verdict.NoFreshReplica)
+	wantFailure(t, f.reader(time.Second, floor(2, 1)).query("SELECT b").result(), failureNotRun, verdict.NoFreshReplica)
+	wantFailure(t, f.reader(50*time.Millisecond, nil).query("SELECT b").result(), failureNotRun, verdict.NoFreshReplica)
+	assert.Equal(t, f.srv.ran("SELECT b"), 0)
+
+	// The server went back after its status was last seen: the request is sent
+	// together with the status query and its answer must not be relayed.
+	f.srv.with(func() { f.srv.position = 5 })
+	r = f.reader(time.Second, floor(1, 10)).query("SELECT c").result()
+	wantFailure(t, r, failureMayHaveRun, verdict.NoFreshReplica)
+	assert.Equal(t, r.types(), "")
+}
+
+// Guards against a write through a read intent, also after the connection
+// served a write.
+func TestReadIntentCannotWrite(t *testing.T) {
+	f := newFixture(t, nil)
+	assert.Assert(t, f.writer().query("INSERT a").result().ready != nil)
+	r := f.reader(0, nil).query("INSERT b").result()
+	assert.Equal(t, r.types(), "E", "%+v", r.failure)
+	assert.Assert(t, f.writer().query("INSERT c").result().ready != nil)
+	f.srv.with(func() { assert.Equal(t, f.srv.position, uint64(2)) })
+}
+
+// Guards against a current read that an old primary answers.
+func TestCurrentReadNeedsConfirmation(t *testing.T) {
+	f := newFixture(t, nil)
+	assert.Equal(t, f.reader(0, nil).query("SELECT a").result().types(), "TDC")
+	f.auth.mu.Lock()
+	f.auth.readErr = verdict.New(verdict.MayHaveRun, verdict.AuthorityLost, "no majority")
+	f.auth.mu.Unlock()
+	r := f.reader(0, nil).query("SELECT a").result()
+	wantFailure(t, r, failureMayHaveRun, verdict.AuthorityLost)
+	assert.Equal(t, r.types(), "")
+}
+
+// Guards against prepared statements that a connection lacks or holds twice,
+// and against answers to the home host's own Parse reaching the caller.
+func TestPreparedStatements(t *testing.T) {
+	f := newFixture(t, nil)
+	for range 20 {
+		c := f.start(&peerpb.Start{Intent: peerpb.Intent_INTENT_WRITE, Prepared: []*peerpb.Prepared{{Name: "p1", Query: "INSERT a"}}})
+		r := c.send(&pgproto3.Bind{PreparedStatement: "p1"}, &pgproto3.Execute{}, &pgproto3.Sync{}).result()
+		assert.Equal(t, r.types(), "2C", "%+v", r.failure)
+	}
+	c := f.start(&peerpb.Start{Intent: peerpb.Intent_INTENT_WRITE, Prepared: []*peerpb.Prepared{{Name: "p2", Query: "BAD"}}})
+	r := c.send(&pgproto3.Bind{PreparedStatement: "p2"}, &pgproto3.Execute{}, &pgproto3.Sync{}).result()
+	assert.Equal(t, r.types(), "E")
+}
+
+// Guards against a COPY that hangs because a Sync is kept back, or that ends
+// early because the ignored Sync is counted.
+func TestCopyIn(t *testing.T) {
+	f := newFixture(t, nil)
+	c := f.writer().query("COPY t FROM STDIN").send(&pgproto3.CopyData{Data: []byte("x")}, &pgproto3.CopyDone{})
+	assert.Equal(t, c.result().types(), "GC")
+	c = f.writer().send(&pgproto3.Parse{Query: "COPY t FROM STDIN"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	c.send(&pgproto3.CopyData{Data: []byte("x")}, &pgproto3.CopyDone{}, &pgproto3.Sync{})
+	r := c.result()
+	assert.Equal(t, r.types(), "12GC", "%+v", r.failure)
+	assert.Assert(t, c.ended())
+}
