--- /dev/null
+++ b/internal/entry/positions.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/session"
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
+)
+
+// positionCache answers sessions without a token. One call per group serves all
+// sessions that were waiting before it was made.
+type positionCache struct {
+	source Positions
+	mu     sync.Mutex
+	groups map[string]*positionQueue
+}
+
+type positionQueue struct {
+	calling bool
+	waiting []chan positionResult
+}
+
+type positionResult struct {
+	token session.Token
+	err   error
+}
+
+func newPositionCache(source Positions) *positionCache {
+	return &positionCache{source: source, groups: make(map[string]*positionQueue)}
+}
+
+// get returns a position of the group that covers every commit acknowledged
+// before the call.
+func (p *positionCache) get(ctx context.Context, group string) (session.Token, error) {
+	if p.source == nil {
+		return session.Token{}, noPosition("no source of positions")
+	}
+	answer := make(chan positionResult, 1)
+	p.mu.Lock()
+	q := p.groups[group]
+	if q == nil {
+		q = &positionQueue{}
+		p.groups[group] = q
+	}
+	q.waiting = append(q.waiting, answer)
+	if !q.calling {
+		q.calling = true
+		go p.serve(group, q)
+	}
+	p.mu.Unlock()
+	select {
+	case r := <-answer:
+		return r.token, r.err
+	case <-ctx.Done():
+		return session.Token{}, noPosition("the primary's position did not arrive in time")
+	}
+}
+
+// serve makes calls until nobody waits. Sessions that come during a call are
+// served by the next one.
+func (p *positionCache) serve(group string, q *positionQueue) {
+	for {
+		p.mu.Lock()
+		waiting := q.waiting
+		q.waiting = nil
+		if len(waiting) == 0 {
+			q.calling = false
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		r := p.call(group)
+		for _, w := range waiting {
+			w <- r
+		}
+	}
+}
+
+func (p *positionCache) call(group string) positionResult {
+	ctx, done := context.WithTimeout(context.Background(), positionTimeout)
+	defer done()
+	t, err := p.source.Position(ctx, group)
+	if err != nil || t == nil {
+		return positionResult{err: noPosition("the primary's position is unknown")}
+	}
+	return positionResult{token: session.TokenFrom(t)}
+}
+
+func noPosition(message string) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.NoFreshReplica, "%s", message)
+}
