--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -263,7 +263,7 @@
 func (f *Fleet) publishAsked(now time.Duration, in Publish) {
 	reason := ""
 	switch {
-	case f.publish != nil:
+	case f.publish != nil || f.duties[DutyPublish].busy:
 		reason = "another publication is in progress on this host"
 	case !f.acceptsFromStore(now):
 		reason = "the host has no live lease or is leaving"
@@ -281,7 +281,6 @@
 func (f *Fleet) publishEnds(s PublishStatus, reason string) {
 	p := f.publish
 	f.publish = nil
-	f.duties[DutyPublish].busy = false
 	f.emit(Published{p.id, PublishResult{Status: s, Version: p.next.Version, Reason: reason}})
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -285,6 +285,9 @@
 // none.
 func (f *Fleet) LeaseUntil() time.Duration { return f.lease.until }
 
+// LeaseGivenUp reports whether the own lease has been ended in the store.
+func (f *Fleet) LeaseGivenUp() bool { return f.lease.givenUp }
+
 // Document returns the configuration in force, nil before the first, and its
 // encoded form.
 func (f *Fleet) Document() (*config.Document, []byte) { return f.conf.document, f.conf.data }
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -19,7 +19,8 @@
 	firstUntil time.Duration
 
 	everHeld bool
-	giveUp   bool
+	giveUp   bool // the lease is to be ended in the store
+	givenUp  bool
 	revision platform.Revision
 	read     bool // revision is the row's, as far as known
 	counter  uint64
@@ -116,7 +117,7 @@
 	l := &f.lease
 	f.succeed(DutyLease, renewInterval(f.hosts()))
 	if l.written.TTLMillis == 0 {
-		l.until = min(l.until, now)
+		l.until, l.givenUp = min(l.until, now), true
 		f.duties[DutyLease].next = now + time.Hour // the process is about to exit
 		return
 	}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -49,6 +49,9 @@
 	dutyCount
 )
 
+// Duties is the number of duties.
+const Duties = int(dutyCount)
+
 // Op is an operation on the table service or the object store.
 type Op uint8
 
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -392,6 +392,9 @@
 		if takeover && r.rate && !f.mayTakeMinter(now) {
 			continue
 		}
+		if fallback && now < r.freeSince+fallbackDelay {
+			continue
+		}
 		if fallback {
 			f.watching = now + watchDuration
 			if !f.zoneLapsed(now, r.zone) {
--- a/internal/fleet/timing.go
+++ b/internal/fleet/timing.go
@@ -42,6 +42,9 @@
 	// claimStep delays the claim of each further rank, so that two hosts seldom
 	// claim the same role at once.
 	claimStep = 500 * time.Millisecond
+	// fallbackDelay lets the hosts of a zone that start together with the
+	// others gain their leases before its roles are claimed elsewhere.
+	fallbackDelay = time.Second
 	// settleTime is how long a host must have been live before roles are
 	// moved to it.
 	settleTime = 5 * time.Second
