--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,366 @@
+package cluster
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/pkg/errors"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/server"
+	"github.com/cranberryhinge/cranberryhinge/internal/standin"
+)
+
+// Credentials of the hosts towards the stand-in databases.
+const (
+	backendUser     = "cranberryhinge"
+	backendPassword = "backend-only-password"
+)
+
+// Settings describe a deployment.
+type Settings struct {
+	// Document is the configuration. The addresses of its backend servers are
+	// replaced by those of the stand-ins. Each customer gets one more key,
+	// whose secret the cluster knows.
+	Document *config.Document
+	// Database is the template of the stand-in databases.
+	Database standin.DatabaseSettings
+	// Platform describes the platform fake.
+	Platform platform.FakeSettings
+	// LogWriter receives the logs of all hosts; default is to discard them.
+	LogWriter io.Writer
+	LogLevel  string
+	// Drain bounds a planned stop of a host.
+	Drain time.Duration
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	Platform  *platform.Fake
+	Databases map[string]*standin.Database
+	Hosts     map[string]*Host
+
+	settings Settings
+	document *config.Document
+	cert     Certificate
+	pool     *peer.Pool
+	version  uint64
+	numbers  int
+}
+
+// Host is one running host.
+type Host struct {
+	Name   string
+	Zone   string
+	Server *server.Server
+
+	stop context.CancelFunc
+	done chan error
+}
+
+// Start starts databases, platform and every host of the inventory, and
+// publishes the configuration.
+func Start(ctx context.Context, settings Settings) (*Cluster, error) {
+	cert, err := NewCertificate()
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{
+		Platform: platform.NewFake(settings.Platform), Databases: map[string]*standin.Database{}, Hosts: map[string]*Host{},
+		settings: settings, cert: cert, pool: peer.NewPool(nil),
+	}
+	if err := c.start(ctx); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	doc, err := clone(c.settings.Document)
+	if err != nil {
+		return err
+	}
+	c.document = doc
+	for i := range doc.Inventory.Customers {
+		customer := &doc.Inventory.Customers[i]
+		sum := sha256.Sum256([]byte(secretOf(customer.Name, testKeyID)))
+		customer.Keys = append(customer.Keys, config.KeyRef{ID: testKeyID, Caller: "test", SHA256: config.Digest(sum)})
+	}
+	for i := range doc.Inventory.Groups {
+		if err := c.startGroup(&doc.Inventory.Groups[i]); err != nil {
+			return err
+		}
+	}
+	for _, h := range doc.Inventory.Hosts {
+		if err := c.StartHost(h.Name); err != nil {
+			return err
+		}
+	}
+	return c.Apply(ctx, func(*config.Document) {})
+}
+
+// testKeyID is the id of the key that the cluster adds to each customer.
+const testKeyID = "loopback"
+
+func secretOf(customer, id string) string {
+	sum := sha256.Sum256([]byte("secret of " + customer + " " + id))
+	return hex.EncodeToString(sum[:])
+}
+
+// Key returns the key of a customer.
+func (c *Cluster) Key(customer string) string {
+	return customer + "." + testKeyID + "." + secretOf(customer, testKeyID)
+}
+
+func clone(doc *config.Document) (*config.Document, error) {
+	data, err := config.Encode(doc)
+	if err != nil {
+		return nil, err
+	}
+	return config.Decode(data)
+}
+
+func (c *Cluster) startGroup(g *config.Group) error {
+	all := make([]standin.DatabaseSettings, len(g.Servers))
+	for i, s := range g.Servers {
+		d := c.settings.Database
+		d.Name, d.Address = s.Name, "127.0.0.1:0"
+		d.Primary, d.Term = g.Servers[0].Name, 1
+		d.User, d.Password = backendUser, backendPassword
+		d.Connections, d.Slots = s.Connections, s.Slots
+		d.Seed += uint64(len(c.Databases) + i)
+		all[i] = d
+	}
+	dbs, err := standin.StartGroup(all...)
+	if err != nil {
+		return errors.Wrapf(err, "group %s", g.Name)
+	}
+	for i, db := range dbs {
+		g.Servers[i].Address = db.Address()
+		c.Databases[db.Name()] = db
+	}
+	return nil
+}
+
+// StartHost starts a host of the inventory, or replaces one that has stopped.
+func (c *Cluster) StartHost(name string) error {
+	var zone string
+	for _, h := range c.document.Inventory.Hosts {
+		if h.Name == name {
+			zone = h.Zone
+		}
+	}
+	tlsConfig, err := c.cert.ServerTLS()
+	if err != nil {
+		return err
+	}
+	access := c.Platform.For(name)
+	writer := c.settings.LogWriter
+	if writer == nil {
+		writer = io.Discard
+	}
+	s, err := server.New(server.Settings{
+		Name: name, Zone: zone, Platform: "in-process",
+		Client:       server.ClientSettings{Listen: "127.0.0.1:0", Certificate: "in-process", Key: "in-process"},
+		Peer:         server.PeerSettings{Listen: "127.0.0.1:0"},
+		Backend:      server.BackendSettings{User: backendUser, Password: backendPassword, Database: "app"},
+		LogLevel:     c.settings.LogLevel,
+		DrainTimeout: config.Duration(c.settings.Drain),
+	}, server.Options{Platform: &access, TLS: tlsConfig, LogWriter: writer})
+	if err != nil {
+		return errors.Wrapf(err, "host %s", name)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	h := &Host{Name: name, Zone: zone, Server: s, stop: stop, done: make(chan error, 1)}
+	c.Hosts[name] = h
+	c.listHosts()
+	go func() { h.done <- s.Run(ctx) }()
+	return nil
+}
+
+func (c *Cluster) listHosts() {
+	var list []platform.ListedHost
+	for _, h := range c.Hosts {
+		list = append(list, platform.ListedHost{Name: h.Name, Address: h.Server.PeerAddress(), Zone: h.Zone})
+	}
+	c.Platform.SetHosts(list...)
+}
+
+// StopHost stops a host gracefully and waits for it.
+func (c *Cluster) StopHost(name string) error {
+	h, ok := c.Hosts[name]
+	if !ok {
+		return errors.Errorf("no host %q", name)
+	}
+	h.stop()
+	delete(c.Hosts, name)
+	c.listHosts()
+	return <-h.done
+}
+
+// Stop stops everything.
+func (c *Cluster) Stop() {
+	for _, h := range c.Hosts {
+		h.stop()
+	}
+	for _, h := range c.Hosts {
+		<-h.done
+	}
+	for _, db := range c.Databases {
+		db.Kill()
+	}
+	c.pool.Close()
+}
+
+// Document returns a copy of the configuration as last applied.
+func (c *Cluster) Document() *config.Document {
+	doc, err := clone(c.document)
+	if err != nil {
+		panic(err) // it was decoded before
+	}
+	return doc
+}
+
+// applyRetry is the pause between attempts to publish while hosts start.
+const applyRetry = 50 * time.Millisecond
+
+// Apply edits the configuration and publishes it through any host.
+func (c *Cluster) Apply(ctx context.Context, edit func(*config.Document)) error {
+	doc := c.Document()
+	edit(doc)
+	data, err := config.Encode(doc)
+	if err != nil {
+		return err
+	}
+	for {
+		err := c.applyOnce(ctx, data)
+		if err == nil {
+			c.document = doc
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(applyRetry):
+		}
+	}
+}
+
+func (c *Cluster) applyOnce(ctx context.Context, data []byte) error {
+	var last error = errors.New("no host runs")
+	for _, h := range c.Hosts {
+		client, err := c.pool.Client(h.Server.PeerAddress())
+		if err != nil {
+			return err
+		}
+		resp, err := client.Apply(ctx, &peerpb.ApplyRequest{Document: data, BaseVersion: c.version})
+		switch {
+		case err != nil:
+			last = err
+		case resp.GetConflict() && resp.GetVersion() == c.version+1:
+			// An earlier attempt whose answer was lost has published it.
+			c.version = resp.GetVersion()
+			return nil
+		case resp.GetConflict() || resp.GetError() != "":
+			last = errors.Errorf("refused: conflict %t %s", resp.GetConflict(), resp.GetError())
+		default:
+			c.version = resp.GetVersion()
+			return nil
+		}
+	}
+	return last
+}
+
+// Version returns the version that was applied last.
+func (c *Cluster) Version() uint64 { return c.version }
+
+// WaitReady waits until every host has the newest configuration and every
+// group has an open primary and a home for each server.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	for {
+		missing := c.missing()
+		if missing == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("the deployment is not ready: %s", missing)
+		case <-time.After(applyRetry):
+		}
+	}
+}
+
+func (c *Cluster) missing() string {
+	for _, h := range c.Hosts {
+		st := h.Server.Status()
+		if st.ConfigVersion < c.version {
+			return fmt.Sprintf("host %s has version %d of %d", h.Name, st.ConfigVersion, c.version)
+		}
+		if !st.KeysFresh {
+			return fmt.Sprintf("host %s does not accept keys", h.Name)
+		}
+		for _, g := range st.Groups {
+			if g.Primary == "" {
+				return fmt.Sprintf("host %s knows no primary of %s", h.Name, g.Name)
+			}
+			for _, s := range g.Servers {
+				if s.Home == "" {
+					return fmt.Sprintf("host %s knows no home of %s", h.Name, s.Name)
+				}
+			}
+		}
+	}
+	return ""
+}
+
+// ConnConfig returns the settings of a pgx client of a customer at a host. An
+// empty customer connects without a key.
+func (c *Cluster) ConnConfig(host, route, customer string) (*pgx.ConnConfig, error) {
+	h, ok := c.Hosts[host]
+	if !ok {
+		return nil, errors.Errorf("no host %q", host)
+	}
+	cfg, err := pgx.ParseConfig("sslmode=disable")
+	if err != nil {
+		return nil, errors.Wrap(err, "client settings")
+	}
+	address := h.Server.ClientAddress()
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Wrap(err, "client address")
+	}
+	cfg.Host = "127.0.0.1"
+	if _, err := fmt.Sscan(port, &cfg.Port); err != nil {
+		return nil, errors.Wrap(err, "client port")
+	}
+	cfg.User, cfg.Database = "caller", route
+	if customer != "" {
+		cfg.Password = c.Key(customer)
+	}
+	cfg.TLSConfig = c.clientTLS()
+	cfg.Fallbacks = nil
+	return cfg, nil
+}
+
+func (c *Cluster) clientTLS() *tls.Config { return c.cert.ClientTLS() }
+
+// Connect opens a pgx connection in its default mode.
+func (c *Cluster) Connect(ctx context.Context, host, route, customer string) (*pgx.Conn, error) {
+	cfg, err := c.ConnConfig(host, route, customer)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := pgx.ConnectConfig(ctx, cfg)
+	return conn, errors.Wrapf(err, "connect to %s on route %s", host, route)
+}
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -12,19 +12,18 @@
 
 // Status is one host's view of the fleet.
 type Status struct {
-	Host          string           `json:"host"`
-	Zone          string           `json:"zone"`
-	Incarnation   uint64           `json:"incarnation"`
-	ConfigVersion uint64           `json:"config_version"`
-	KeysFresh     bool             `json:"keys_fresh"`
-	LeaseLeft     float64          `json:"lease_left_s"`
-	Ready         bool             `json:"ready"`
-	Draining      bool             `json:"draining"`
-	Roles         []string         `json:"roles"`
-	Peers         []Peer           `json:"peers"`
-	Groups        []Group          `json:"groups"`
-	Document      *config.Document `json:"-"`
-	Configuration string           `json:"configuration,omitempty"`
+	Host          string   `json:"host"`
+	Zone          string   `json:"zone"`
+	Incarnation   uint64   `json:"incarnation"`
+	ConfigVersion uint64   `json:"config_version"`
+	KeysFresh     bool     `json:"keys_fresh"`
+	LeaseLeft     float64  `json:"lease_left_s"`
+	Ready         bool     `json:"ready"`
+	Draining      bool     `json:"draining"`
+	Roles         []string `json:"roles"`
+	Peers         []Peer   `json:"peers"`
+	Groups        []Group  `json:"groups"`
+	Configuration string   `json:"configuration,omitempty"`
 }
 
 // Peer is another host as this host sees it.
--- /dev/null
+++ b/internal/server/api.go
@@ -0,0 +1,64 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+)
+
+// peerAPI serves the peer API by handing each call to the shell that it
+// concerns.
+type peerAPI struct {
+	peerpb.UnimplementedPeerServer
+	s *Server
+}
+
+func (a peerAPI) Run(stream grpc.BidiStreamingServer[peerpb.RunRequest, peerpb.RunResponse]) error {
+	return a.s.home.Serve(stream)
+}
+
+func (a peerAPI) Position(ctx context.Context, r *peerpb.PositionRequest) (*peerpb.PositionResponse, error) {
+	resp, err := a.s.owner.Position(ctx, r.GetGroup())
+	if err != nil {
+		return nil, status.Error(codes.NotFound, err.Error())
+	}
+	return resp, nil
+}
+
+func (a peerAPI) Exchange(ctx context.Context, v *peerpb.Vector) (*peerpb.Vector, error) {
+	return a.s.member.Exchange(ctx, v)
+}
+
+func (a peerAPI) Grant(ctx context.Context, r *peerpb.GrantRequest) (*peerpb.GrantResponse, error) {
+	return a.s.minters.Grant(ctx, r)
+}
+
+func (a peerAPI) Configuration(ctx context.Context, r *peerpb.ConfigurationRequest) (*peerpb.ConfigurationResponse, error) {
+	return a.s.member.Configuration(ctx, r)
+}
+
+func (a peerAPI) Apply(ctx context.Context, r *peerpb.ApplyRequest) (*peerpb.ApplyResponse, error) {
+	return a.s.member.Apply(ctx, r)
+}
+
+func (a peerAPI) Handover(ctx context.Context, r *peerpb.HandoverRequest) (*peerpb.HandoverResponse, error) {
+	return a.s.member.Handover(ctx, r)
+}
+
+func (a peerAPI) Cancel(_ context.Context, r *peerpb.CancelRequest) (*peerpb.CancelResponse, error) {
+	a.s.entry.Cancel(r.GetProcessId(), r.GetSecret())
+	return &peerpb.CancelResponse{}, nil
+}
+
+func (a peerAPI) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
+	data, err := json.Marshal(a.s.Status())
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	return &peerpb.StatusResponse{Json: data}, nil
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,378 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/customer"
+	"github.com/cranberryhinge/cranberryhinge/internal/entry"
+	"github.com/cranberryhinge/cranberryhinge/internal/home"
+	"github.com/cranberryhinge/cranberryhinge/internal/limit"
+	"github.com/cranberryhinge/cranberryhinge/internal/member"
+	"github.com/cranberryhinge/cranberryhinge/internal/owner"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/report"
+	"github.com/cranberryhinge/cranberryhinge/internal/routing"
+	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+)
+
+// Options replace, in tests and benchmarks, what a host otherwise makes from its
+// settings.
+type Options struct {
+	// Platform replaces the connection to the platform's services.
+	Platform *platform.Access
+	// TLS replaces the certificate of the client listener.
+	TLS *tls.Config
+	// LogWriter receives the log; default is standard error.
+	LogWriter io.Writer
+}
+
+// Server is one host.
+type Server struct {
+	settings Settings
+	log      *log.Logger
+	counters *telemetry.Counters
+
+	member    *member.Member
+	owner     *owner.Owner
+	home      *home.Home
+	minters   *limit.Minters
+	limiter   *limit.Limiter
+	entry     *entry.Entry
+	directory *directory
+
+	pool      *peer.Pool
+	grpc      *grpc.Server
+	listeners listeners
+	closers   []io.Closer
+	draining  atomic.Bool
+}
+
+type listeners struct{ client, peer, admin net.Listener }
+
+// New opens the listeners and connects the shells. Run starts them.
+func New(settings Settings, opts Options) (*Server, error) {
+	if err := settings.prepare(); err != nil {
+		return nil, err
+	}
+	if opts.LogWriter == nil {
+		opts.LogWriter = os.Stderr
+	}
+	s := &Server{
+		settings: settings,
+		log:      telemetry.NewLogger(opts.LogWriter, settings.LogLevel, settings.Name),
+		counters: telemetry.NewCounters(),
+	}
+	if err := s.assemble(opts); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Server) assemble(opts Options) error {
+	if err := s.listen(); err != nil {
+		return err
+	}
+	access, err := s.platform(opts)
+	if err != nil {
+		return err
+	}
+	peerCreds, err := s.peerCredentials()
+	if err != nil {
+		return err
+	}
+	clientTLS := opts.TLS
+	if clientTLS == nil {
+		if clientTLS, err = s.settings.ClientTLS(); err != nil {
+			return err
+		}
+	}
+	s.connectShells(access, peerCreds, clientTLS)
+	s.grpc = grpc.NewServer(peer.ServerOptions(peerCreds)...)
+	peerpb.RegisterPeerServer(s.grpc, peerAPI{s: s})
+	return nil
+}
+
+func (s *Server) listen() error {
+	for _, l := range []struct {
+		address string
+		target  *net.Listener
+	}{
+		{s.settings.Client.Listen, &s.listeners.client},
+		{s.settings.Peer.Listen, &s.listeners.peer},
+		{s.settings.Admin.Listen, &s.listeners.admin},
+	} {
+		if l.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", l.address)
+		}
+		*l.target = listener
+		s.closers = append(s.closers, listener)
+	}
+	return nil
+}
+
+func (s *Server) platform(opts Options) (platform.Access, error) {
+	if opts.Platform != nil {
+		return *opts.Platform, nil
+	}
+	client, err := platform.NewClient(platform.ClientOptions{Address: s.settings.Platform, Host: s.settings.Name})
+	if err != nil {
+		return platform.Access{}, err
+	}
+	s.closers = append(s.closers, client)
+	return client.Access(), nil
+}
+
+func (s *Server) peerCredentials() (credentials.TransportCredentials, error) {
+	cfg, err := s.settings.PeerTLS()
+	if err != nil || cfg == nil {
+		return nil, err
+	}
+	return credentials.NewTLS(cfg), nil
+}
+
+// PeerAddress returns the address that the other hosts use.
+func (s *Server) PeerAddress() string {
+	if s.settings.Peer.Advertise != s.settings.Peer.Listen {
+		return s.settings.Peer.Advertise
+	}
+	return s.listeners.peer.Addr().String()
+}
+
+// ClientAddress returns the address of the client listener.
+func (s *Server) ClientAddress() string { return s.listeners.client.Addr().String() }
+
+// Counters returns this host's counters.
+func (s *Server) Counters() *telemetry.Counters { return s.counters }
+
+func (s *Server) connectShells(access platform.Access, creds credentials.TransportCredentials, clientTLS *tls.Config) {
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) }
+	s.pool = peer.NewPool(creds)
+	calls := &peers{pool: s.pool}
+	s.member = member.New(member.Options{
+		Self:  member.Identity{Name: s.settings.Name, Zone: s.settings.Zone, Address: s.PeerAddress()},
+		Table: access.Tables, Objects: access.Objects, Hosts: access.Hosts,
+		Peers: calls, Decode: config.Decode, Logger: s.log, Counters: s.counters,
+	})
+	calls.fleet = s.member
+	s.owner = owner.New(owner.Options{
+		Fleet: groupFleet{s.member}, Table: access.Tables, Peers: calls,
+		Credentials: s.settings.Credentials(), Counters: s.counters, Log: s.log,
+	})
+	s.home = home.New(home.Options{
+		Host: s.settings.Name, Credentials: s.settings.Credentials(), Authority: s.owner,
+		Log: s.log, Counters: s.counters,
+	})
+	calls.local = s.home.Serve
+	dir := newDirectory(s.member, calls)
+	dir.owner = s.owner
+	calls.suspect = dir.Suspect
+	s.directory = dir
+	s.minters = limit.NewMinters(limitFleet{s.member}, clock)
+	s.limiter = limit.New(limit.Options{Fleet: limitFleet{s.member}, Peers: calls, Minters: s.minters, Clock: clock, Counters: s.counters})
+	s.entry = entry.New(entry.Options{
+		Listener: s.listeners.client, TLS: clientTLS, Plaintext: s.settings.Client.Plaintext,
+		Host: s.settings.Name, Zone: s.settings.Zone, Document: s.member.Document, KeysChanged: s.member.Subscribe(),
+		Keys: customer.NewKeys(s.member.Document, s.member.KeysFresh), Limiter: s.limiter, Positions: dir, Cancels: calls,
+		Opener:   routing.New(routing.Options{Zone: s.settings.Zone, Directory: dir, Dialer: calls, Counters: s.counters, Seed: uint64(start.UnixNano())}),
+		Counters: s.counters, Logger: s.log, MaxClients: s.settings.Client.MaxClients,
+	})
+}
+
+// Run serves until ctx ends, then stops gracefully: it hands its roles over,
+// lets open transactions end and returns.
+func (s *Server) Run(ctx context.Context) error {
+	defer s.close()
+	s.counters.Publish()
+	// Each stage ends after the one that depends on it.
+	clients, stopClients := context.WithCancel(context.Background())
+	shells, stopShells := context.WithCancel(context.Background())
+	lease, stopLease := context.WithCancel(context.Background())
+	defer stopLease()
+	defer stopShells()
+	defer stopClients()
+
+	group, groupCtx := errgroup.WithContext(context.Background())
+	group.Go(func() error { return s.member.Run(lease) })
+	group.Go(func() error { return s.owner.Run(shells) })
+	group.Go(func() error { return s.home.Run(shells) })
+	group.Go(func() error { return s.followRoles(shells) })
+	group.Go(func() error { return s.entry.Run(clients) })
+	group.Go(func() error { return s.servePeers() })
+	if s.listeners.admin != nil {
+		group.Go(func() error { return serveAdmin(shells, s.listeners.admin, adminHandler(s, s.counters)) })
+	}
+	s.log.Info().Str("client", s.ClientAddress()).Str("peer", s.PeerAddress()).Msg("host started")
+
+	select {
+	case <-ctx.Done():
+		s.drain()
+	case <-groupCtx.Done():
+	}
+	stopClients()
+	s.stopPeers()
+	stopShells()
+	stopLease()
+	err := group.Wait()
+	s.log.Info().Msg("host stopped")
+	return err
+}
+
+// drain ends the work of this host within the drain timeout.
+func (s *Server) drain() {
+	s.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), s.settings.DrainTimeout.Std())
+	defer cancel()
+	s.log.Info().Msg("planned stop")
+	var group errgroup.Group
+	group.Go(func() error { return s.member.Leave(ctx) })
+	group.Go(func() error { return s.entry.Drain(ctx) })
+	if err := group.Wait(); err != nil {
+		s.log.Warn().Err(err).Msg("drain timeout")
+	}
+}
+
+func (s *Server) servePeers() error {
+	return errors.Wrap(s.grpc.Serve(s.listeners.peer), "peer listener")
+}
+
+// stopPeers lets the streams of other hosts end and closes the listener.
+func (s *Server) stopPeers() {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.grpc.GracefulStop()
+	}()
+	select {
+	case <-done:
+	case <-time.After(s.settings.DrainTimeout.Std()):
+		s.grpc.Stop()
+	}
+}
+
+func (s *Server) close() {
+	if s.limiter != nil {
+		s.limiter.Close()
+	}
+	if s.pool != nil {
+		s.pool.Close()
+	}
+	for _, c := range s.closers {
+		_ = c.Close()
+	}
+}
+
+// rolesInterval bounds the time until a missed signal of the fleet is noticed.
+const rolesInterval = time.Second
+
+// followRoles passes gained and lost roles on to the home shell and the minters.
+func (s *Server) followRoles(ctx context.Context) error {
+	changed := s.member.Subscribe()
+	ticker := time.NewTicker(rolesInterval)
+	defer ticker.Stop()
+	held := map[string]bool{}
+	for {
+		held = s.syncRoles(held)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// syncRoles holds and releases backend servers to match the roles, and returns
+// the servers that are held now.
+func (s *Server) syncRoles(before map[string]bool) map[string]bool {
+	doc := s.member.Document()
+	if doc == nil {
+		return before
+	}
+	after := map[string]bool{}
+	var minting []string
+	for _, r := range s.member.Held() {
+		name, isServer := strings.CutPrefix(r.Name, owner.RolePrefix)
+		if !isServer {
+			minting = append(minting, r.Name)
+			continue
+		}
+		if server, g, ok := doc.Server(name); ok {
+			after[name] = true
+			s.home.Hold(g.Name, server, r.Epoch)
+		}
+	}
+	for name := range before {
+		if !after[name] {
+			s.home.Release(name)
+		}
+	}
+	s.minters.Watch(minting)
+	return after
+}
+
+// Ready reports whether the balancer may send callers to this host.
+func (s *Server) Ready() bool {
+	doc := s.member.Document()
+	return doc != nil && !s.draining.Load() && !doc.ZoneOut(s.settings.Zone)
+}
+
+// Status implements statusSource.
+func (s *Server) Status() report.Status {
+	id := s.member.Self()
+	st := report.Status{
+		Host: id.Name, Zone: id.Zone, Incarnation: id.Incarnation, KeysFresh: s.member.KeysFresh(),
+		LeaseLeft: max(0, time.Until(s.member.LeaseUntil()).Seconds()), Ready: s.Ready(), Draining: s.draining.Load(),
+	}
+	for _, r := range s.member.Held() {
+		st.Roles = append(st.Roles, r.Name)
+	}
+	for _, p := range s.member.Peers() {
+		st.Peers = append(st.Peers, report.Peer{Name: p.Name, Zone: p.Zone, Address: p.Address, Reachable: p.Reachable, Leaving: p.Leaving})
+	}
+	doc := s.member.Document()
+	if doc == nil {
+		return st
+	}
+	st.ConfigVersion = uint64(doc.Version)
+	if data, err := config.Encode(doc); err == nil {
+		st.Configuration = string(data)
+	}
+	for _, g := range doc.Inventory.Groups {
+		st.Groups = append(st.Groups, s.groupStatus(doc, g))
+	}
+	return st
+}
+
+func (s *Server) groupStatus(doc *config.Document, g config.Group) report.Group {
+	r := report.Group{Name: g.Name}
+	r.Primary, r.Term, _ = s.directory.Primary(g.Name)
+	for _, server := range g.Servers {
+		holder, _ := s.member.Holder(owner.RolePrefix + server.Name)
+		r.Servers = append(r.Servers, report.Server{
+			Name: server.Name, Zone: server.Zone, Home: holder.Name, Leaving: server.Leaving, ZoneOut: doc.ZoneOut(server.Zone),
+		})
+	}
+	return r
+}
