--- /dev/null
+++ b/cmd/cranberryhinge/main_test.go
@@ -0,0 +1,338 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/cli"
+	"github.com/cranberryhinge/cranberryhinge/internal/cluster"
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
+)
+
+// asProgram makes the test binary act as the program itself, so that the tests
+// start real processes without building a second binary.
+const asProgram = "CRANBERRYHINGE_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// process is a running program.
+type process struct {
+	cmd    *exec.Cmd
+	output *bytes.Buffer
+}
+
+func startProgram(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(os.Args[0], args...), output: &bytes.Buffer{}}
+	p.cmd.Env = append(os.Environ(), asProgram+"=1")
+	p.cmd.Stdout, p.cmd.Stderr = p.output, p.output
+	assert.NilError(t, p.cmd.Start())
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+		if t.Failed() {
+			t.Logf("%s:\n%s", strings.Join(args, " "), p.output)
+		}
+	})
+	return p
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	assert.NilError(t, p.cmd.Process.Signal(s))
+}
+
+func runProgram(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), asProgram+"=1")
+	out, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// freeAddresses returns loopback addresses that nothing listens on.
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
+}
+
+// deployment is a set of separate processes: a platform, three databases and
+// four hosts in three zones.
+type deployment struct {
+	dir       string
+	cert      cluster.Certificate
+	platform  *process
+	databases []*process
+	hosts     []*process
+	clients   []string
+	peers     []string
+	key       string
+}
+
+const testSecret = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+var testZones = []string{"north", "south", "east"}
+
+func startDeployment(t *testing.T) *deployment {
+	t.Helper()
+	const databases, hosts = 3, 4
+	d := &deployment{dir: t.TempDir(), key: "acme.k1." + testSecret}
+	addresses := freeAddresses(t, 1+databases+2*hosts)
+	platform, dbs, rest := addresses[0], addresses[1:1+databases], addresses[1+databases:]
+	d.clients, d.peers = rest[:hosts], rest[hosts:]
+	d.writeConfiguration(t, dbs)
+	d.writeCertificate(t)
+
+	d.platform = startProgram(t, "standin", "platform", "--listen", platform)
+	for i := range dbs {
+		d.databases = append(d.databases, startProgram(t, "standin", "database", "--settings", d.databaseSettings(t, i, dbs)))
+	}
+	for i := range hosts {
+		d.hosts = append(d.hosts, startProgram(t, "serve", "--settings", d.hostSettings(t, i, platform)))
+	}
+	d.apply(t)
+	return d
+}
+
+func (d *deployment) write(t *testing.T, name, content string) string {
+	t.Helper()
+	path := filepath.Join(d.dir, name)
+	assert.NilError(t, os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+func (d *deployment) writeConfiguration(t *testing.T, dbs []string) {
+	t.Helper()
+	var b strings.Builder
+	b.WriteString("zones: [{name: north, region: r}, {name: south, region: r}, {name: east, region: r}]\nhosts:\n")
+	for i := range 4 {
+		fmt.Fprintf(&b, "  - {name: host-%d, zone: %s}\n", i, testZones[i%len(testZones)])
+	}
+	b.WriteString("groups:\n  - name: main\n    servers:\n")
+	for i, a := range dbs {
+		fmt.Fprintf(&b, "      - {name: main-%d, zone: %s, address: \"%s\", slots: 3, connections: 20}\n", i, testZones[i], a)
+	}
+	fmt.Fprintf(&b, "customers:\n  - name: acme\n    keys: [{id: k1, caller: test, sha256: %s}]\n", config.Digest(sha256.Sum256([]byte(testSecret))))
+	d.write(t, config.InventoryFile, b.String())
+	d.write(t, config.RulesFile, `
+routes:
+  - {name: main, group: main, mode: write, deadline: 8s}
+  - {name: main-read, group: main, mode: read, staleness: 5s, repeatable: true, deadline: 5s}
+limits:
+  - {customer: acme, rate: 500, burst: 500}
+`)
+}
+
+func (d *deployment) writeCertificate(t *testing.T) {
+	t.Helper()
+	cert, err := cluster.NewCertificate()
+	assert.NilError(t, err)
+	d.cert = cert
+	d.write(t, "cert.pem", string(cert.CertPEM))
+	d.write(t, "key.pem", string(cert.KeyPEM))
+}
+
+func (d *deployment) databaseSettings(t *testing.T, i int, dbs []string) string {
+	t.Helper()
+	var peers []string
+	for j, a := range dbs {
+		if j != i {
+			peers = append(peers, fmt.Sprintf("main-%d: \"%s\"", j, a))
+		}
+	}
+	return d.write(t, fmt.Sprintf("db-%d.yaml", i), fmt.Sprintf(`
+name: main-%d
+address: %s
+peers: {%s}
+term: 1
+primary: main-0
+user: proxy
+password: backend-password
+connections: 20
+slots: 3
+connect_delay: 10ms
+transport_delay: {min: 1ms, max: 2ms}
+apply_delay: {min: 50ms, max: 100ms}
+`, i, dbs[i], strings.Join(peers, ", ")))
+}
+
+func (d *deployment) hostSettings(t *testing.T, i int, platform string) string {
+	t.Helper()
+	return d.write(t, fmt.Sprintf("host-%d.yaml", i), fmt.Sprintf(`
+name: host-%d
+zone: %s
+client: {listen: "%s", certificate: %s, key: %s}
+peer: {listen: "%s"}
+platform: "%s"
+backend: {user: proxy, password: backend-password, database: app}
+drain_timeout: 8s
+`, i, testZones[i%len(testZones)], d.clients[i], filepath.Join(d.dir, "cert.pem"), filepath.Join(d.dir, "key.pem"), d.peers[i], platform))
+}
+
+// apply publishes the configuration, and tries again while the hosts start.
+func (d *deployment) apply(t *testing.T) {
+	t.Helper()
+	var out string
+	var code int
+	for range 100 {
+		if out, code = runProgram(t, "apply", "--host", d.peers[0], d.dir); code == 0 {
+			return
+		}
+		t.Log(out)
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("apply: %s", out)
+}
+
+func (d *deployment) connect(ctx context.Context, t *testing.T, host int, route string) (*pgx.Conn, error) {
+	t.Helper()
+	cfg, err := pgx.ParseConfig("sslmode=disable")
+	assert.NilError(t, err)
+	address, port, err := net.SplitHostPort(d.clients[host])
+	assert.NilError(t, err)
+	number, err := strconv.ParseUint(port, 10, 16)
+	assert.NilError(t, err)
+	cfg.Host, cfg.Port, cfg.User, cfg.Database, cfg.Password = address, uint16(number), "caller", route, d.key
+	cfg.TLSConfig, cfg.Fallbacks = d.cert.ClientTLS(), nil
+	return pgx.ConnectConfig(ctx, cfg)
+}
+
+const upsert = "INSERT INTO kv (key, value) VALUES ($1, $2) ON CONFLICT (key) DO UPDATE SET value = excluded.value"
+
+// put writes until it is acknowledged or the context ends. The write is
+// idempotent, so that repeating it is safe.
+func (d *deployment) put(ctx context.Context, t *testing.T, host int, key, value string) error {
+	t.Helper()
+	var last error
+	for ctx.Err() == nil {
+		last = d.putOnce(ctx, t, host, key, value)
+		if last == nil {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return fmt.Errorf("%w; last: %v", ctx.Err(), last)
+}
+
+func (d *deployment) putOnce(ctx context.Context, t *testing.T, host int, key, value string) error {
+	t.Helper()
+	conn, err := d.connect(ctx, t, host, "main")
+	if err != nil {
+		return err
+	}
+	defer conn.Close(ctx)
+	_, err = conn.Exec(ctx, upsert, key, value)
+	return err
+}
+
+// get reads until an answer comes or the context ends.
+func (d *deployment) get(ctx context.Context, t *testing.T, host int, key string) (string, error) {
+	t.Helper()
+	var last error
+	for ctx.Err() == nil {
+		conn, err := d.connect(ctx, t, host, "main-read")
+		if err == nil {
+			var value string
+			err = conn.QueryRow(ctx, "SELECT value FROM kv WHERE key = $1", key).Scan(&value)
+			conn.Close(ctx)
+			if err == nil {
+				return value, nil
+			}
+		}
+		last = err
+		time.Sleep(50 * time.Millisecond)
+	}
+	return "", fmt.Errorf("%w; last: %v", ctx.Err(), last)
+}
+
+func testContext(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against the whole path failing between separate processes, and against
+// lost writes and stale reads through the crash of the primary and of a host.
+func TestSeparateProcesses(t *testing.T) {
+	d := startDeployment(t)
+	ctx := testContext(t, 60*time.Second)
+	assert.NilError(t, d.put(ctx, t, 0, "lot", "1"))
+	value, err := d.get(ctx, t, 1, "lot")
+	assert.NilError(t, err)
+	assert.Equal(t, value, "1")
+
+	d.databases[0].signal(t, syscall.SIGKILL)
+	begin := time.Now()
+	assert.NilError(t, d.put(ctx, t, 1, "lot", "2"))
+	t.Logf("first write %.2f s after the primary was killed", time.Since(begin).Seconds())
+	value, err = d.get(ctx, t, 2, "lot")
+	assert.NilError(t, err)
+	assert.Equal(t, value, "2")
+
+	d.hosts[1].signal(t, syscall.SIGKILL)
+	assert.NilError(t, d.put(ctx, t, 2, "lot", "3"))
+	value, err = d.get(ctx, t, 3, "lot")
+	assert.NilError(t, err)
+	assert.Equal(t, value, "3")
+
+	d.hosts[2].signal(t, syscall.SIGTERM)
+	assert.NilError(t, d.hosts[2].cmd.Wait())
+	assert.NilError(t, d.put(ctx, t, 3, "lot", "4"))
+}
+
+// Guards against unclear command lines: usage errors exit with 2, failures with 1.
+func TestExitCodes(t *testing.T) {
+	cases := []struct {
+		name string
+		args []string
+		code int
+		want string
+	}{
+		{"help", []string{"--help"}, 0, "SUBCOMMANDS"},
+		{"no subcommand", nil, 2, "SUBCOMMANDS"},
+		{"unknown flag", []string{"check", "--nope"}, 2, "nope"},
+		{"missing argument", []string{"check"}, 2, "configuration directory"},
+		{"missing directory", []string{"check", "does-not-exist"}, 1, "read inventory"},
+		{"good configuration", []string{"check", "../../examples/kandyan"}, 0, "ok: 4 availability zones, 9 hosts"},
+		{"serve without settings", []string{"serve"}, 2, "--settings is missing"},
+		{"apply without host", []string{"apply", "../../examples/kandyan"}, 2, "--host is missing"},
+		{"status of nobody", []string{"status", "--host", "127.0.0.1:1"}, 1, "status of 127.0.0.1:1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			out, code := runProgram(t, c.args...)
+			assert.Equal(t, code, c.code, out)
+			assert.Assert(t, strings.Contains(out, c.want), out)
+		})
+	}
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -55,7 +55,6 @@
 	cert     Certificate
 	pool     *peer.Pool
 	version  uint64
-	numbers  int
 }
 
 // Host is one running host.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -244,10 +244,15 @@
 		if h.Name == f.self.Name || h.Leaving {
 			continue
 		}
-		r := f.record(h.Name)
-		if !r.known { // heartbeats are newer than the lagging list
-			r.address, r.zone = h.Address, h.Zone
-		}
+		f.addressSeen(h.Name, h.Address, h.Zone)
+	}
+}
+
+// addressSeen notes where a host can be reached, unless a heartbeat has said so.
+func (f *Fleet) addressSeen(name, address, zone string) {
+	r := f.record(name)
+	if !r.known {
+		r.address, r.zone = address, zone
 	}
 }
 
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -194,6 +194,10 @@
 func (f *Fleet) hostRowSeen(now time.Duration, r platform.Row) {
 	name := r.Key[len(hostPrefix):]
 	row := decodeRow[hostRow](r)
+	if name != f.self.Name && row.TTLMillis > 0 {
+		// The host list lags and may miss a host; a lease row has its address, too.
+		f.addressSeen(name, row.Address, row.Zone)
+	}
 	v, ok := f.hostViews[name]
 	if !ok {
 		f.hostViews[name] = &leaseView{row: row, firstSeen: now, raisedAt: now, olderTTL: max(row.ttl(), f.ttl())}
