Shape the network between zones in the loopback deployment

Connections between zones and from callers pass relays with the deployment's latency, which can be cut or silenced.

--- a/internal/cli/configure.go
+++ b/internal/cli/configure.go
@@ -165,7 +165,7 @@
 func withHost(ctx context.Context, host string, call func(context.Context, peerpb.PeerClient) error) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	pool := peer.NewPool(nil)
+	pool := peer.NewPool(nil, nil)
 	defer pool.Close()
 	client, err := pool.Client(host)
 	if err != nil {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/faultnet"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/platform"
@@ -40,6 +41,8 @@
 	// LogWriter receives the logs of all hosts; default is to discard them.
 	LogWriter io.Writer
 	LogLevel  string
+	// Latency describes the network between zones and to the callers.
+	Latency Latency
 	// Drain bounds a planned stop of a host.
 	Drain time.Duration
 }
@@ -49,6 +52,7 @@
 	Platform  *platform.Fake
 	Databases map[string]*standin.Database
 	Hosts     map[string]*Host
+	Network   *Network
 
 	settings Settings
 	document *config.Document
@@ -76,7 +80,7 @@
 	}
 	c := &Cluster{
 		Platform: platform.NewFake(settings.Platform), Databases: map[string]*standin.Database{}, Hosts: map[string]*Host{},
-		settings: settings, cert: cert, pool: peer.NewPool(nil),
+		Network: newNetwork(settings.Latency), settings: settings, cert: cert, pool: peer.NewPool(nil, nil),
 	}
 	if err := c.start(ctx); err != nil {
 		c.Stop()
@@ -148,6 +152,7 @@
 	for i, db := range dbs {
 		g.Servers[i].Address = db.Address()
 		c.Databases[db.Name()] = db
+		c.Network.place(db.Address(), g.Servers[i].Zone)
 	}
 	return nil
 }
@@ -176,13 +181,17 @@
 		Backend:      server.BackendSettings{User: backendUser, Password: backendPassword, Database: "app"},
 		LogLevel:     c.settings.LogLevel,
 		DrainTimeout: config.Duration(c.settings.Drain),
-	}, server.Options{Platform: &access, TLS: tlsConfig, LogWriter: writer})
+	}, server.Options{
+		Platform: &access, TLS: tlsConfig, LogWriter: writer, Dial: c.Network.dialer(zone),
+	})
 	if err != nil {
 		return errors.Wrapf(err, "host %s", name)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	h := &Host{Name: name, Zone: zone, Server: s, stop: stop, done: make(chan error, 1)}
 	c.Hosts[name] = h
+	c.Network.place(s.PeerAddress(), zone)
+	c.Network.place(s.ClientAddress(), zone)
 	c.listHosts()
 	go func() { h.done <- s.Run(ctx) }()
 	return nil
@@ -220,6 +229,54 @@
 		db.Kill()
 	}
 	c.pool.Close()
+	c.Network.close()
+}
+
+// Partition cuts a zone off from every other zone, the platform and the
+// callers, in the given mode. Heal ends it.
+func (c *Cluster) Partition(zone string, mode faultnet.Mode) {
+	c.Network.Set(zone, Clients, mode)
+	for _, z := range c.document.Inventory.Zones {
+		if z.Name != zone {
+			c.CutZones(zone, z.Name, mode)
+		}
+	}
+	c.Platform.Cut(c.hostsIn(zone)...)
+}
+
+// CutZones cuts two zones off from each other, replication included.
+func (c *Cluster) CutZones(a, b string, mode faultnet.Mode) {
+	c.Network.Set(a, b, mode)
+	for _, g := range c.document.Inventory.Groups {
+		for _, s := range g.Servers {
+			for _, o := range g.Servers {
+				if pairOf(s.Zone, o.Zone) == pairOf(a, b) && s.Zone != o.Zone {
+					c.Databases[s.Name].Isolate(o.Name)
+				}
+			}
+		}
+	}
+}
+
+// Heal ends every partition.
+func (c *Cluster) Heal() {
+	c.Network.heal()
+	for _, db := range c.Databases {
+		db.Rejoin()
+	}
+	for _, h := range c.document.Inventory.Hosts {
+		c.Platform.Restore(h.Name)
+	}
+}
+
+func (c *Cluster) hostsIn(zone string) []string {
+	var names []string
+	for _, h := range c.document.Inventory.Hosts {
+		if h.Zone == zone {
+			names = append(names, h.Name)
+		}
+	}
+	return names
 }
 
 // Document returns a copy of the configuration as last applied.
@@ -334,7 +391,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "client settings")
 	}
-	address := h.Server.ClientAddress()
+	address, err := c.Network.link(Clients, h.Server.ClientAddress())
+	if err != nil {
+		return nil, err
+	}
 	_, port, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "client address")
--- a/internal/dbconn/dbconn.go
+++ b/internal/dbconn/dbconn.go
@@ -49,6 +49,9 @@
 	User     string
 	Password string
 	Database string
+	// Dial replaces the TCP dialer, for tests that shape the network. Nil means
+	// a dialer with keep-alive and user timeout.
+	Dial pgconn.DialFunc
 }
 
 // Conn is one connection to a backend server.
@@ -76,6 +79,9 @@
 	cfg.Fallbacks = nil
 	dialer := &net.Dialer{KeepAlive: keepAlive, Control: setUserTimeout}
 	cfg.DialFunc = dialer.DialContext
+	if cred.Dial != nil {
+		cfg.DialFunc = cred.Dial
+	}
 	pg, err := pgconn.ConnectConfig(ctx, cfg)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -39,18 +39,22 @@
 // use and closes those to addresses that are no longer listed.
 type Pool struct {
 	creds credentials.TransportCredentials
+	dial  Dial
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
 // NewPool returns an empty pool. With nil credentials the transport is
-// plaintext.
-func NewPool(creds credentials.TransportCredentials) *Pool {
+// plaintext. A nil dial means TCP.
+func NewPool(creds credentials.TransportCredentials, dial Dial) *Pool {
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
-	return &Pool{creds: creds, conns: map[string]*grpc.ClientConn{}}
+	return &Pool{creds: creds, dial: dial, conns: map[string]*grpc.ClientConn{}}
 }
 
 // Client returns the API of the host at the address.
@@ -72,7 +76,7 @@
 	delay := backoff.DefaultConfig
 	delay.BaseDelay = 50 * time.Millisecond
 	delay.MaxDelay = maxReconnectDelay
-	return []grpc.DialOption{
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(p.creds),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
 			Time:                keepAliveInterval,
@@ -84,6 +88,10 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 	}
+	if p.dial != nil {
+		options = append(options, grpc.WithContextDialer(p.dial))
+	}
+	return options
 }
 
 // Retain closes the connections to every address that is not in the list.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -40,6 +40,8 @@
 	TLS *tls.Config
 	// LogWriter receives the log; default is standard error.
 	LogWriter io.Writer
+	// Dial replaces the TCP dialer towards hosts and backend servers.
+	Dial peer.Dial
 }
 
 // Server is one host.
@@ -103,7 +105,7 @@
 			return err
 		}
 	}
-	s.connectShells(access, peerCreds, clientTLS)
+	s.connectShells(access, peerCreds, clientTLS, opts.Dial)
 	s.grpc = grpc.NewServer(peer.ServerOptions(peerCreds)...)
 	peerpb.RegisterPeerServer(s.grpc, peerAPI{s: s})
 	return nil
@@ -165,10 +167,14 @@
 // Counters returns this host's counters.
 func (s *Server) Counters() *telemetry.Counters { return s.counters }
 
-func (s *Server) connectShells(access platform.Access, creds credentials.TransportCredentials, clientTLS *tls.Config) {
+func (s *Server) connectShells(access platform.Access, creds credentials.TransportCredentials, clientTLS *tls.Config, dial peer.Dial) {
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
-	s.pool = peer.NewPool(creds)
+	s.pool = peer.NewPool(creds, dial)
+	backend := s.settings.Credentials()
+	if dial != nil {
+		backend.Dial = func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }
+	}
 	calls := &peers{pool: s.pool}
 	s.member = member.New(member.Options{
 		Self:  member.Identity{Name: s.settings.Name, Zone: s.settings.Zone, Address: s.PeerAddress()},
@@ -178,10 +184,10 @@
 	calls.fleet = s.member
 	s.owner = owner.New(owner.Options{
 		Fleet: groupFleet{s.member}, Table: access.Tables, Peers: calls,
-		Credentials: s.settings.Credentials(), Counters: s.counters, Log: s.log,
+		Credentials: backend, Counters: s.counters, Log: s.log,
 	})
 	s.home = home.New(home.Options{
-		Host: s.settings.Name, Credentials: s.settings.Credentials(), Authority: s.owner,
+		Host: s.settings.Name, Credentials: backend, Authority: s.owner,
 		Log: s.log, Counters: s.counters,
 	})
 	calls.local = s.home.Serve
