--- a/internal/group/authority.go
+++ b/internal/group/authority.go
@@ -26,7 +26,13 @@
 	if m.unsafe.skipLease {
 		return m.isOwner()
 	}
-	return m.isOwner() && m.claimed && (m.claimEpoch == m.leaseEpoch || m.unsafe.skipReclaim) && m.now < m.leaseUntil
+	return m.isOwner() && m.claimValid() && m.now < m.leaseUntil
+}
+
+// claimValid reports whether this host wrote the current revision of the row
+// under a lease that has been continuous since.
+func (m *Machine) claimValid() bool {
+	return m.claimed && (m.claimEpoch == m.leaseEpoch || m.unsafe.skipReclaim)
 }
 
 // Writable returns the term in which the primary may be used for new work.
--- a/internal/group/decide.go
+++ b/internal/group/decide.go
@@ -83,12 +83,12 @@
 		m.give(s.Home, m.row.Primary)
 		return
 	}
-	claimed := m.claimed && m.claimEpoch == m.leaseEpoch
+	claimed := m.claimValid()
 	if !claimed && m.now < m.leaseUntil {
 		m.sendSwap(swapClaim, m.selfRow(m.row.Term, m.row.Primary))
 		return
 	}
-	if ok && p.status.Role != dbconn.Primary && claimed && p.statusSent > m.rowSince {
+	if ok && p.status.Role != dbconn.Primary && claimed && p.statusSent > max(m.rowSince, m.openedAt) {
 		m.promoteAssigned()
 		return
 	}
@@ -107,7 +107,7 @@
 	if m.opened == m.row.Term {
 		return
 	}
-	m.opened, m.restart, m.failures = m.row.Term, false, 0
+	m.opened, m.openedAt, m.restart, m.failures = m.row.Term, m.now, false, 0
 	m.closing, m.suspected = false, false
 	m.count(CountOpened)
 	if m.gapStart != 0 {
@@ -375,7 +375,7 @@
 	t := m.opt.Timing
 	settling := m.swap != nil && m.swap.settle != 0
 	due := m.wantRow || settling || !m.rowKnown || (!m.isOwner() && m.now-m.readAt >= t.Refresh) ||
-		(m.rowKnown && m.revision == 0 && m.now-m.readAt >= t.Suspect)
+		(m.now-m.readAt >= t.Suspect && (m.revision == 0 || m.watching()))
 	if m.reading || !due || (m.readID > 0 && m.readAt != 0 && m.now-m.readAt < t.Retry) {
 		return
 	}
--- a/internal/group/machine.go
+++ b/internal/group/machine.go
@@ -102,6 +102,7 @@
 
 	// opened is the term in which the primary is in use here.
 	opened   uint64
+	openedAt time.Duration
 	seenTerm uint64
 	// primaryOK is when the last poll was sent that the primary of the row's
 	// term answered as such.
--- /dev/null
+++ b/internal/group/sim_test.go
@@ -0,0 +1,622 @@
+package group
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
+	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+)
+
+// The simulation drives several machines against modelled databases, a table
+// service and host leases. Time is virtual; all randomness comes from one seed.
+
+const (
+	simMax     = 5 // databases, each in a zone of its own
+	simTTL     = 3 * time.Second
+	simMargin  = simTTL + simTTL/50
+	simTimeout = 500 * time.Millisecond
+	// simTermShift leaves room for the index in a position.
+	simTermShift = 20
+)
+
+var errSim = errors.New("no answer")
+
+type simEvent struct {
+	at  time.Duration
+	seq uint64
+	run func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+type simEntry struct {
+	term  uint64
+	write int // 0 opens the term
+	key   int
+}
+
+type simDB struct {
+	id       int
+	down     bool
+	lagging  bool
+	term     uint64
+	role     dbconn.Role
+	primary  int
+	log      []simEntry
+	applied  int
+	acks     map[int]int
+	start    int // entries before the own term
+	promoted map[uint64]bool
+}
+
+type leaseRow struct{ incarnation, counter uint64 }
+
+type leaseView struct {
+	row       leaseRow
+	firstSeen time.Duration
+	raised    time.Duration
+}
+
+type simHost struct {
+	id, zone    int
+	life        int // grows with each crash
+	down        bool
+	pausedUntil time.Duration
+	inbox       []func()
+
+	m           *Machine
+	incarnation uint64
+	counter     uint64
+	until       time.Duration
+	granted     bool
+	views       map[int]*leaseView
+	lapsed      map[Host]bool
+	waiters     []*simWaiter
+	homes       [simMax]Host
+	out         [simMax]bool
+}
+
+type simWaiter struct {
+	until  time.Duration
+	quorum bool
+	decide func(now time.Duration) Decision
+	done   func(Decision)
+}
+
+type sim struct {
+	rnd *rand.Rand
+	now time.Duration
+	// n is the number of databases and zones. Hosts 0 to n-1 are in the zone of
+	// their database, host n is in zone 0.
+	n     int
+	queue simQueue
+	seq   uint64
+
+	durability config.Durability
+	unsafe     unsafe
+	// plainPositions breaks the contract that positions grow with the term.
+	plainPositions bool
+
+	dbs   []*simDB
+	hosts []*simHost
+
+	cut       [simMax][simMax]int
+	storeCut  [simMax]int
+	storeDown int
+	lossy     int
+	slow      int
+	out       [simMax]bool
+
+	groupRow platform.Row
+	leases   map[int]leaseRow
+	homes    [simMax]int
+	// onCount runs when a host's machine emits a counter.
+	onCount func(h *simHost, name string)
+	// loseNext is the host whose next store call loses its answer.
+	loseNext *simHost
+	// crashAt crashes the next host that emits the counter.
+	crashAt string
+	steps   map[string]int
+
+	oracle *oracle
+}
+
+func newSim(seed uint64, n int, durability config.Durability, u unsafe) *sim {
+	s := &sim{
+		n: n, rnd: rand.New(rand.NewPCG(seed, seed)), durability: durability, unsafe: u,
+		leases: map[int]leaseRow{}, steps: map[string]int{},
+	}
+	s.oracle = newOracle(s)
+	for i := range s.n {
+		db := &simDB{id: i, term: 1, role: dbconn.Replica, acks: map[int]int{}, promoted: map[uint64]bool{}}
+		s.dbs = append(s.dbs, db)
+		s.homes[i] = i
+		s.every(5*time.Millisecond, 15*time.Millisecond, func() { s.replicate(db) })
+		s.every(2*time.Millisecond, 20*time.Millisecond, func() { s.apply(db) })
+	}
+	s.dbs[0].promote(1)
+	for i := range s.n + 1 {
+		h := &simHost{id: i, zone: i % s.n}
+		s.hosts = append(s.hosts, h)
+		s.boot(h)
+		s.every(50*time.Millisecond, 52*time.Millisecond, func() { s.local(h, func() { s.tick(h) }) })
+		s.every(9*time.Millisecond, 11*time.Millisecond, func() { s.local(h, func() { s.serveWaiters(h) }) })
+		s.every(900*time.Millisecond, time.Second, func() { s.local(h, func() { s.renew(h) }) })
+		s.every(250*time.Millisecond, 300*time.Millisecond, func() { s.local(h, func() { s.scan(h) }) })
+	}
+	s.every(400*time.Millisecond, 500*time.Millisecond, s.assignHomes)
+	return s
+}
+
+func (s *sim) between(a, b time.Duration) time.Duration { return a + rand64(s.rnd, b-a) }
+
+func rand64(r *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(d) + 1))
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.queue, simEvent{s.now + d, s.seq, run})
+}
+
+func (s *sim) every(a, b time.Duration, run func()) {
+	s.after(s.between(0, b), func() {
+		run()
+		s.every2(a, b, run)
+	})
+}
+
+func (s *sim) every2(a, b time.Duration, run func()) {
+	s.after(s.between(a, b), func() {
+		run()
+		s.every2(a, b, run)
+	})
+}
+
+func (s *sim) runUntil(t time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= t && s.oracle.violation == "" {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.run()
+	}
+	s.now = max(s.now, t)
+}
+
+// delay is the time that a message needs. Some messages are overtaken by many.
+func (s *sim) delay() time.Duration {
+	if s.slow > 0 && s.rnd.IntN(4) == 0 {
+		return s.between(0, 700*time.Millisecond)
+	}
+	return s.between(300*time.Microsecond, 3*time.Millisecond)
+}
+
+func (s *sim) linked(a, b int) bool { return a == b || s.cut[a][b] == 0 }
+
+// local runs a step of a host's process unless it is down; a paused process
+// runs it when it wakes up.
+func (s *sim) local(h *simHost, run func()) {
+	switch {
+	case h.down:
+	case s.now < h.pausedUntil:
+		if len(h.inbox) == 0 {
+			s.after(h.pausedUntil-s.now, func() { s.wake(h) })
+		}
+		life := h.life
+		h.inbox = append(h.inbox, func() {
+			if h.life == life {
+				run()
+			}
+		})
+	default:
+		run()
+	}
+}
+
+func (s *sim) wake(h *simHost) {
+	inbox := h.inbox
+	h.inbox = nil
+	s.rnd.Shuffle(len(inbox), func(i, j int) { inbox[i], inbox[j] = inbox[j], inbox[i] })
+	for _, run := range inbox {
+		if !h.down {
+			run()
+		}
+	}
+}
+
+// call runs serve at the far end after a delay and answer at the host after
+// another, with false when either way is cut or the answer is overdue.
+func (s *sim) call(h *simHost, ok func() bool, serve func() bool, answer func(ok bool)) {
+	life, sent := h.life, s.now
+	back := func(ok bool, d time.Duration) {
+		s.after(d, func() {
+			s.local(h, func() {
+				if h.life == life {
+					answer(ok)
+				}
+			})
+		})
+	}
+	s.after(s.delay(), func() {
+		served := ok() && serve()
+		s.after(s.delay(), func() {
+			late := s.now-sent > simTimeout
+			if served && ok() && !late {
+				back(true, 0)
+				return
+			}
+			back(false, max(sent+simTimeout-s.now, 0))
+		})
+	})
+}
+
+func (s *sim) callDB(h *simHost, db *simDB, serve func() bool, answer func(ok bool)) {
+	s.call(h, func() bool { return !db.down && s.linked(h.zone, db.id) }, serve, answer)
+}
+
+func (s *sim) callStore(h *simHost, serve func(), answer func(ok bool)) {
+	lost := (s.lossy > 0 && s.rnd.IntN(2) == 0) || s.loseNext == h
+	if s.loseNext == h {
+		s.loseNext = nil
+	}
+	up := func() bool { return s.storeDown == 0 && s.storeCut[h.zone] == 0 }
+	s.call(h, up, func() bool { serve(); return !lost }, answer)
+}
+
+// Databases.
+
+func (db *simDB) position(s *sim, n int) uint64 {
+	if n == 0 {
+		return 0
+	}
+	if s.plainPositions {
+		return uint64(n)
+	}
+	return db.log[n-1].term<<simTermShift | uint64(n)
+}
+
+func (db *simDB) status(s *sim) dbconn.Status {
+	st := dbconn.Status{Server: dbName(db.id), Term: db.term, Role: db.role, Position: db.position(s, db.applied)}
+	if db.role == dbconn.Primary {
+		holds := make([]int, s.n)
+		for id, n := range db.acks {
+			holds[id] = n
+		}
+		holds[db.id] = len(db.log)
+		slices.Sort(holds)
+		if n := holds[(s.n-1)/2]; n > db.start {
+			st.Held = db.position(s, n)
+		}
+	}
+	return st
+}
+
+func (db *simDB) fence(s *sim, term uint64) dbconn.Status {
+	if term > db.term {
+		db.term, db.role = term, dbconn.Detached
+	}
+	st := db.status(s)
+	st.Received = db.position(s, len(db.log))
+	return st
+}
+
+func (db *simDB) promote(term uint64) bool {
+	if term != db.term {
+		return false
+	}
+	if db.role == dbconn.Primary {
+		return true
+	}
+	db.role, db.acks, db.start = dbconn.Primary, map[int]int{}, len(db.log)
+	db.log = append(db.log, simEntry{term: term})
+	db.applied = len(db.log)
+	return true
+}
+
+func (db *simDB) follow(term uint64, primary int) {
+	if term < db.term || primary == db.id || (term == db.term && db.role == dbconn.Primary) {
+		return
+	}
+	db.term, db.role, db.primary = term, dbconn.Replica, primary
+}
+
+// replicate copies the primary's log; the acknowledgement arrives later.
+func (s *sim) replicate(db *simDB) {
+	p := s.dbs[db.primary]
+	if db.down || p.down || db.role != dbconn.Replica || p.role != dbconn.Primary || p.term != db.term || !s.linked(db.id, p.id) {
+		return
+	}
+	common := min(len(db.log), len(p.log))
+	for common > 0 && db.log[common-1] != p.log[common-1] {
+		common--
+	}
+	db.log = append(db.log[:common:common], p.log[common:]...)
+	db.applied = min(db.applied, common)
+	n, term := len(db.log), db.term
+	s.after(s.delay(), func() {
+		if !p.down && p.role == dbconn.Primary && p.term == term && s.linked(db.id, p.id) && db.term == term {
+			p.acks[db.id] = max(p.acks[db.id], n)
+		}
+	})
+}
+
+func (s *sim) apply(db *simDB) {
+	if !db.down && !db.lagging && db.role == dbconn.Replica {
+		db.applied = min(db.applied+1+s.rnd.IntN(8), len(db.log))
+	}
+}
+
+func dbName(i int) string   { return fmt.Sprintf("db%d", i) }
+func hostName(i int) string { return fmt.Sprintf("h%d", i) }
+func idOf(name string) int  { return int(name[len(name)-1] - '0') }
+
+// Hosts.
+
+func (s *sim) boot(h *simHost) {
+	h.life++
+	h.incarnation = s.leases[h.id].incarnation + 1 + uint64(h.life)
+	h.until, h.granted, h.counter = 0, false, 0
+	h.views, h.lapsed = map[int]*leaseView{}, map[Host]bool{}
+	h.waiters, h.inbox = nil, nil
+	h.homes = [simMax]Host{}
+	h.m = New(Options{Group: "g", Self: s.identity(h), Timing: DefaultTiming()})
+	h.m.unsafe = s.unsafe
+	s.renew(h)
+	s.scan(h)
+}
+
+func (s *sim) identity(h *simHost) Host {
+	return Host{Name: hostName(h.id), Zone: dbName(h.zone), Incarnation: h.incarnation}
+}
+
+func (s *sim) crash(h *simHost, d time.Duration) {
+	if h.down {
+		return
+	}
+	h.down = true
+	h.life++
+	s.after(d, func() {
+		h.down = false
+		h.pausedUntil = 0
+		s.boot(h)
+	})
+}
+
+// renew renews the host lease. A lapsed lease ends the incarnation for good.
+func (s *sim) renew(h *simHost) {
+	if h.granted && s.now >= h.until {
+		h.incarnation++
+		h.granted, h.until = false, 0
+	}
+	h.counter++
+	row, sent := leaseRow{h.incarnation, h.counter}, s.now
+	s.callStore(h, func() {
+		if old := s.leases[h.id]; row.incarnation > old.incarnation || (row.incarnation == old.incarnation && row.counter > old.counter) {
+			s.leases[h.id] = row
+		}
+	}, func(ok bool) {
+		if !ok || h.incarnation != row.incarnation || s.leases[h.id].incarnation != row.incarnation || (h.granted && s.now >= h.until) {
+			return
+		}
+		h.granted, h.until = true, max(h.until, sent+simTTL)
+	})
+}
+
+// scan reads all lease rows and passes the machine's servers on.
+func (s *sim) scan(h *simHost) {
+	sent := s.now
+	rows := map[int]leaseRow{}
+	s.callStore(h, func() {
+		for id, r := range s.leases {
+			rows[id] = r
+		}
+		for i, id := range s.homes[:s.n] {
+			h.homes[i] = s.identity(s.hosts[id])
+		}
+		h.out = s.out
+	}, func(ok bool) {
+		if !ok {
+			return
+		}
+		for id, r := range rows {
+			s.seen(h, id, r, sent)
+		}
+		servers := []Server{}
+		for i := range s.n {
+			servers = append(servers, Server{Name: dbName(i), Zone: dbName(i), Home: h.homes[i], Out: h.out[i]})
+		}
+		s.step(h, Topology{Servers: servers, Durability: s.durability})
+	})
+}
+
+func (s *sim) seen(h *simHost, id int, r leaseRow, sent time.Duration) {
+	v := h.views[id]
+	switch {
+	case v == nil:
+		h.views[id] = &leaseView{row: r, firstSeen: s.now, raised: s.now}
+		return
+	case r.incarnation > v.row.incarnation:
+		v.row, v.firstSeen, v.raised = r, s.now, s.now
+	case r.counter > v.row.counter && r.incarnation == v.row.incarnation:
+		v.row, v.firstSeen = r, s.now
+	case sent >= v.firstSeen+simMargin:
+		h.lapsed[Host{Name: hostName(id), Incarnation: v.row.incarnation}] = true
+	}
+	if sent >= v.raised+simMargin {
+		for inc := range v.row.incarnation {
+			h.lapsed[Host{Name: hostName(id), Incarnation: inc}] = true
+		}
+	}
+}
+
+// assignHomes moves the home roles of hosts that are down, as the fleet does.
+func (s *sim) assignHomes() {
+	if s.storeDown > 0 {
+		return
+	}
+	for i, id := range s.homes[:s.n] {
+		if !s.hosts[id].down && s.storeCut[s.hosts[id].zone] == 0 && s.now >= s.hosts[id].pausedUntil {
+			continue
+		}
+		for _, h := range s.hosts {
+			better := h.zone == i || s.hosts[s.homes[i]].down
+			if !h.down && s.storeCut[h.zone] == 0 && s.now >= h.pausedUntil && better {
+				s.homes[i] = h.id
+				break
+			}
+		}
+	}
+}
+
+func (s *sim) tick(h *simHost) {
+	s.step(h, Tick{})
+	if o, ok := h.m.Watching(); ok && h.lapsed[o] {
+		s.step(h, Lapsed{Host: o.Name, Incarnation: o.Incarnation})
+	}
+}
+
+func (s *sim) lease(h *simHost) {
+	h.m.Step(s.now, Lease{Incarnation: h.incarnation, Until: h.until})
+}
+
+func (s *sim) step(h *simHost, in Input) {
+	s.lease(h)
+	life := h.life
+	for _, a := range slices.Clone(h.m.Step(s.now, in)) {
+		if h.life != life {
+			return
+		}
+		s.perform(h, a)
+	}
+	if h.life == life {
+		s.release(h)
+	}
+}
+
+func (s *sim) release(h *simHost) {
+	s.lease(h)
+	waiters := h.waiters
+	h.waiters = nil
+	for _, w := range waiters {
+		d := w.decide(s.now)
+		if d == Wait && s.now < w.until {
+			h.waiters = append(h.waiters, w)
+			continue
+		}
+		w.done(d)
+	}
+}
+
+func (s *sim) serveWaiters(h *simHost) {
+	if len(h.waiters) == 0 {
+		return
+	}
+	quorum := slices.ContainsFunc(h.waiters, func(w *simWaiter) bool { return w.quorum })
+	s.step(h, Wanted{Quorum: quorum && h.m.NeedsQuorum(s.now)})
+}
+
+func answerErr(ok bool) error {
+	if ok {
+		return nil
+	}
+	return errSim
+}
+
+func (s *sim) perform(h *simHost, a Action) {
+	switch v := a.(type) {
+	case Count:
+		s.steps[v.Name]++
+		if s.onCount != nil {
+			s.onCount(h, v.Name)
+		}
+		if s.crashAt == v.Name {
+			s.crashAt = ""
+			s.crash(h, s.between(time.Second, 6*time.Second))
+		}
+	case ReadRow:
+		var row platform.Row
+		s.callStore(h, func() { row = s.groupRow }, func(ok bool) {
+			answer := RowAnswer{ID: v.ID, Revision: row.Revision, Err: answerErr(ok)}
+			if ok && row.Revision > 0 {
+				answer.Row, answer.Err = DecodeRow(row.Value)
+			}
+			s.step(h, answer)
+		})
+	case Swap:
+		answer := SwapAnswer{Writer: v.Row.Writer, Outcome: Conflict}
+		s.callStore(h, func() {
+			if s.groupRow.Revision == v.Expect {
+				value, _ := v.Row.Encode()
+				s.groupRow = platform.Row{Value: value, Revision: v.Expect + 1}
+				answer.Outcome, answer.Revision = Swapped, v.Expect+1
+			}
+		}, func(ok bool) {
+			if !ok {
+				answer.Outcome = Unknown
+			}
+			s.step(h, answer)
+		})
+	case Poll:
+		db := s.dbs[idOf(v.Server)]
+		var st dbconn.Status
+		s.callDB(h, db, func() bool { st = db.status(s); return true }, func(ok bool) {
+			s.step(h, StatusAnswer{Server: v.Server, Sent: v.Sent, Status: st, Err: answerErr(ok)})
+		})
+	case Fence:
+		db := s.dbs[idOf(v.Server)]
+		var st dbconn.Status
+		s.callDB(h, db, func() bool { st = db.fence(s, v.Term); return true }, func(ok bool) {
+			s.step(h, FenceAnswer{Server: v.Server, Term: v.Term, Status: st, Err: answerErr(ok)})
+		})
+	case Promote:
+		db := s.dbs[idOf(v.Server)]
+		s.callDB(h, db, func() bool {
+			ok := db.promote(v.Term)
+			if ok {
+				s.oracle.promoted(db)
+			}
+			return ok
+		}, func(ok bool) {
+			s.step(h, PromoteAnswer{Server: v.Server, Term: v.Term, Err: answerErr(ok)})
+		})
+	case Follow:
+		db := s.dbs[idOf(v.Server)]
+		s.callDB(h, db, func() bool { db.follow(v.Term, idOf(v.Primary)); return true }, func(bool) {})
+	case Ask:
+		o := s.hosts[idOf(v.Host)]
+		var r Report
+		var at time.Duration
+		reach := func() bool { return !o.down && s.now >= o.pausedUntil && s.linked(h.zone, o.zone) }
+		s.call(h, reach, func() bool {
+			s.step(o, Asked{})
+			if o.down {
+				return false
+			}
+			r, at = o.m.Report(s.now), s.now
+			return true
+		}, func(ok bool) {
+			for i := range r.Samples { // as the shell converts ages
+				r.Samples[i].At = v.Sent - (at - r.Samples[i].At)
+			}
+			s.step(h, ReportAnswer{Host: v.Host, Sent: v.Sent, Report: r, Err: answerErr(ok)})
+		})
+	}
+}
