--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -153,9 +153,7 @@
 	for _, g := range doc.Inventory.Groups {
 		listed[g.Name] = true
 		servers := o.servers(doc, g)
-		home := slices.ContainsFunc(servers, func(s group.Server) bool {
-			return s.Home.Name == o.self.Name
-		})
+		home := o.homes(servers)
 		r := o.runner(g.Name)
 		if r == nil && home {
 			r = o.startRunner(g.Name)
@@ -187,6 +185,10 @@
 	return list
 }
 
+func (o *Owner) homes(servers []group.Server) bool {
+	return slices.ContainsFunc(servers, func(s group.Server) bool { return s.Home.Name == o.self.Name })
+}
+
 func (o *Owner) runner(name string) *runner {
 	o.mu.RLock()
 	defer o.mu.RUnlock()
@@ -224,7 +226,8 @@
 		}
 		r := o.startRunner(name)
 		if r != nil {
-			r.setServers(g, o.servers(doc, g), false)
+			servers := o.servers(doc, g)
+			r.setServers(g, servers, o.homes(servers))
 		}
 		return r
 	}
@@ -291,14 +294,18 @@
 	return r.machine.Age(o.now(), term, position)
 }
 
-// Primary returns the primary of a group, false while it is not known to be open.
+// Primary returns the primary of a group, false while it is not known to be
+// open. A host without a home role in the group starts to follow it with the
+// first call and stops some time after the last.
 func (o *Owner) Primary(name string) (server string, term uint64, ok bool) {
-	r := o.runner(name)
+	r := o.needed(name)
 	if r == nil {
 		return "", 0, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.usedAt = o.now()
+	r.machine.Track(r.usedAt)
 	return r.machine.Primary()
 }
 
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -20,6 +20,9 @@
 	tickInterval = 50 * time.Millisecond
 	// confirmInterval is the interval of status polls while somebody waits.
 	confirmInterval = 2 * time.Millisecond
+	// positionInterval is the interval of status polls while only questions for
+	// the position wait: hundreds of hosts may ask once a second.
+	positionInterval = 20 * time.Millisecond
 	// idleAfter is the time after which a group without a home here is dropped.
 	idleAfter = 10 * time.Second
 
@@ -65,6 +68,7 @@
 	waiters  []*waiter
 	home     bool
 	usedAt   time.Duration
+	wantedAt time.Duration
 	backoff  time.Duration
 }
 
@@ -94,8 +98,8 @@
 			r.want()
 		} else {
 			r.stepLocked(group.Tick{})
-			r.checkLapsed()
 		}
+		r.checkLapsed()
 		next := tickInterval
 		if len(r.waiters) > 0 {
 			next = confirmInterval
@@ -196,6 +200,13 @@
 
 // want asks for the statuses that the waiters need.
 func (r *runner) want() {
+	confirming := slices.ContainsFunc(r.waiters, func(w *waiter) bool { return w.kind != waitPosition })
+	now := r.o.now()
+	if !confirming && r.wantedAt != 0 && now-r.wantedAt < positionInterval {
+		r.stepLocked(group.Tick{})
+		return
+	}
+	r.wantedAt = now
 	quorum := slices.ContainsFunc(r.waiters, func(w *waiter) bool { return w.kind != waitWrite })
 	r.stepLocked(group.Wanted{Quorum: quorum && r.machine.NeedsQuorum(r.lease())})
 }
