--- a/internal/group/authority.go
+++ b/internal/group/authority.go
@@ -137,6 +137,9 @@
 	return p != nil && p.ok && p.report.Owner && p.report.Open && p.report.Term == m.row.Term && p.report.Primary == m.row.Primary
 }
 
+// Closing reports whether new work waits for a planned promotion.
+func (m *Machine) Closing() bool { return m.closing }
+
 // Owns reports whether this host owns the group.
 func (m *Machine) Owns() bool { return m.isOwner() }
 
--- a/internal/group/decide.go
+++ b/internal/group/decide.go
@@ -257,7 +257,12 @@
 
 // candidate runs at home hosts that do not own the group.
 func (m *Machine) candidate() {
-	if !m.watching() || !m.ownerLapsed() {
+	if !m.watching() {
+		m.ready = false
+		return
+	}
+	lost := m.row.Primary == "" || m.suspectPrimary()
+	if !m.ownerLapsed() {
 		m.ready = false
 		return
 	}
@@ -276,7 +281,7 @@
 		}
 		return
 	}
-	if m.row.Primary != "" && !m.suspectPrimary() {
+	if !lost {
 		m.ready = false
 		return
 	}
--- a/internal/group/promotion.go
+++ b/internal/group/promotion.go
@@ -48,9 +48,8 @@
 			return
 		}
 	}
-	if !planned && m.opened != 0 || m.suspected {
-		m.gap = Gap{Detection: m.suspectedAt - m.primaryOK}
-		m.gap.Lease = max(m.lapsedAt-m.suspectedAt, 0)
+	if m.suspected {
+		m.gap = Gap{Detection: m.suspectedAt - m.lastSeen(), Lease: max(m.lapsedAt-m.suspectedAt, 0)}
 	}
 	m.opened, m.closing = 0, false
 	m.gapStart = m.now
@@ -61,6 +60,14 @@
 	m.sendSwap(swapTerm, m.selfRow(m.promotion.term, ""))
 }
 
+// lastSeen is when the primary or its owner last answered here.
+func (m *Machine) lastSeen() time.Duration {
+	if m.isOwner() {
+		return m.primaryOK
+	}
+	return max(m.primaryOK, m.contactOK)
+}
+
 // fail ends the promotion. The next attempt uses a higher term.
 func (m *Machine) fail() {
 	m.count(CountFailed)
--- a/internal/owner/monitor.go
+++ b/internal/owner/monitor.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
 )
 
@@ -24,8 +26,14 @@
 	closed bool
 }
 
+// errRemoved reports a server that the inventory no longer lists.
+var errRemoved = errors.New("owner: server is not in the inventory")
+
 // status polls the database. The machine has one poll in flight at a time.
 func (m *monitor) status(ctx context.Context, now time.Duration) (dbconn.Status, error) {
+	if m == nil {
+		return dbconn.Status{}, errRemoved
+	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	m.mu.Lock()
@@ -92,6 +100,9 @@
 }
 
 func (m *monitor) control(ctx context.Context, call func(context.Context, Database) error) error {
+	if m == nil {
+		return errRemoved
+	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	db, err := m.dial(ctx, m.address, m.application)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -172,6 +172,19 @@
 	o.mu.Unlock()
 }
 
+func (o *Owner) refreshGroup(r *runner) {
+	doc := o.opt.Fleet.Document()
+	if doc == nil {
+		return
+	}
+	for _, g := range doc.Inventory.Groups {
+		if g.Name == r.name {
+			servers := o.servers(doc, g)
+			r.setServers(g, servers, o.homes(servers))
+		}
+	}
+}
+
 func (o *Owner) servers(doc *config.Document, g config.Group) []group.Server {
 	list := make([]group.Server, 0, len(g.Servers))
 	for _, s := range g.Servers {
@@ -220,18 +233,14 @@
 	if doc == nil {
 		return nil
 	}
-	for _, g := range doc.Inventory.Groups {
-		if g.Name != name {
-			continue
-		}
-		r := o.startRunner(name)
-		if r != nil {
-			servers := o.servers(doc, g)
-			r.setServers(g, servers, o.homes(servers))
-		}
-		return r
+	if !slices.ContainsFunc(doc.Inventory.Groups, func(g config.Group) bool { return g.Name == name }) {
+		return nil
 	}
-	return nil
+	r := o.startRunner(name)
+	if r != nil {
+		o.refreshGroup(r)
+	}
+	return r
 }
 
 func noPrimary(name string) error {
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -104,7 +104,11 @@
 		if len(r.waiters) > 0 {
 			next = confirmInterval
 		}
+		closing := r.machine.Closing()
 		r.mu.Unlock()
+		if closing {
+			r.o.refreshGroup(r) // open transactions may have ended
+		}
 		timer.Reset(next)
 	}
 }
