--- a/internal/group/authority.go
+++ b/internal/group/authority.go
@@ -26,7 +26,13 @@
 	if m.unsafe.skipLease {
 		return m.isOwner()
 	}
-	return m.isOwner() && m.claimed && (m.claimEpoch == m.leaseEpoch || m.unsafe.skipReclaim) && m.now < m.leaseUntil
+	return m.isOwner() && m.claimValid() && m.now < m.leaseUntil
+}
+
+// claimValid reports whether this host wrote the current revision of the row
+// under a lease that has been continuous since.
+func (m *Machine) claimValid() bool {
+	return m.claimed && (m.claimEpoch == m.leaseEpoch || m.unsafe.skipReclaim)
 }
 
 // Writable returns the term in which the primary may be used for new work.
@@ -131,6 +137,9 @@
 	return p != nil && p.ok && p.report.Owner && p.report.Open && p.report.Term == m.row.Term && p.report.Primary == m.row.Primary
 }
 
+// Closing reports whether new work waits for a planned promotion.
+func (m *Machine) Closing() bool { return m.closing }
+
 // Owns reports whether this host owns the group.
 func (m *Machine) Owns() bool { return m.isOwner() }
 
--- a/internal/group/decide.go
+++ b/internal/group/decide.go
@@ -83,12 +83,12 @@
 		m.give(s.Home, m.row.Primary)
 		return
 	}
-	claimed := m.claimed && m.claimEpoch == m.leaseEpoch
+	claimed := m.claimValid()
 	if !claimed && m.now < m.leaseUntil {
 		m.sendSwap(swapClaim, m.selfRow(m.row.Term, m.row.Primary))
 		return
 	}
-	if ok && p.status.Role != dbconn.Primary && claimed && p.statusSent > m.rowSince {
+	if ok && p.status.Role != dbconn.Primary && claimed && p.statusSent > max(m.rowSince, m.openedAt) {
 		m.promoteAssigned()
 		return
 	}
@@ -107,7 +107,7 @@
 	if m.opened == m.row.Term {
 		return
 	}
-	m.opened, m.restart, m.failures = m.row.Term, false, 0
+	m.opened, m.openedAt, m.restart, m.failures = m.row.Term, m.now, false, 0
 	m.closing, m.suspected = false, false
 	m.count(CountOpened)
 	if m.gapStart != 0 {
@@ -257,7 +257,12 @@
 
 // candidate runs at home hosts that do not own the group.
 func (m *Machine) candidate() {
-	if !m.watching() || !m.ownerLapsed() {
+	if !m.watching() {
+		m.ready = false
+		return
+	}
+	lost := m.row.Primary == "" || m.suspectPrimary()
+	if !m.ownerLapsed() {
 		m.ready = false
 		return
 	}
@@ -276,7 +281,7 @@
 		}
 		return
 	}
-	if m.row.Primary != "" && !m.suspectPrimary() {
+	if !lost {
 		m.ready = false
 		return
 	}
@@ -363,7 +368,7 @@
 
 // schedule sends the reads, polls and questions that are due.
 func (m *Machine) schedule() {
-	if !m.homesAny() && !m.isOwner() && m.now >= m.probeUntil && !m.wantPoll && !m.wantQuorum {
+	if !m.homesAny() && !m.isOwner() && m.now >= m.probeUntil && !m.tracking() && !m.wantPoll && !m.wantQuorum {
 		return
 	}
 	m.scheduleRow()
@@ -375,7 +380,7 @@
 	t := m.opt.Timing
 	settling := m.swap != nil && m.swap.settle != 0
 	due := m.wantRow || settling || !m.rowKnown || (!m.isOwner() && m.now-m.readAt >= t.Refresh) ||
-		(m.rowKnown && m.revision == 0 && m.now-m.readAt >= t.Suspect)
+		(m.now-m.readAt >= t.Suspect && (m.revision == 0 || m.watching() || (m.tracking() && m.ownerMissed())))
 	if m.reading || !due || (m.readID > 0 && m.readAt != 0 && m.now-m.readAt < t.Retry) {
 		return
 	}
@@ -427,10 +432,14 @@
 	}
 	missed := m.now-m.primaryOK > m.opt.Timing.Poll*3/2
 	everyone := (m.isOwner() && missed) || (m.watching() && m.ownerMissed())
+	every := m.opt.Timing.Poll
+	if !m.homesAny() && !m.isOwner() {
+		every = m.opt.Timing.Suspect // only tracks the primary; there may be hundreds of such hosts
+	}
 	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
 		p := m.peers[name]
 		due := everyone || (!m.isOwner() && name == m.row.Owner)
-		if p.inFlight || !due || (p.asked && m.now-p.sent < m.opt.Timing.Poll) {
+		if p.inFlight || !due || (p.asked && m.now-p.sent < every) {
 			continue
 		}
 		p.inFlight, p.asked, p.sent = true, true, m.now
