Test session state against a model server, announce statements per stream

Statements used first within a transaction are announced by a further Start. Startup parameters that change answers are set at the start of each stream.

--- a/internal/entry/client.go
+++ b/internal/entry/client.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/session"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
@@ -45,7 +46,10 @@
 	// the transaction.
 	closing *verdict.Error
 	hard    bool
-	dead    bool
+	// lost is set when the open transaction was lost.
+	lost *verdict.Error
+	// dead is set when nothing more can be sent to the client.
+	dead bool
 
 	writeMu sync.Mutex
 }
@@ -215,6 +219,8 @@
 	switch {
 	case c.dead:
 		return errEnded
+	case c.lost != nil:
+		return c.lost
 	case c.closing == nil:
 		return nil
 	case c.machine.InBatch() || c.awaiting:
@@ -241,6 +247,9 @@
 
 func (c *client) halfSent(err error) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if closing := c.mustClose(); closing != nil {
+			return closing
+		}
 		return verdict.New(c.openVerdict(), verdict.ProtocolViolation, "the client did not finish its message")
 	}
 	return errEnded
@@ -249,6 +258,10 @@
 // handle processes one message, and at the end of a batch waits for its answer.
 func (c *client) handle(typ byte, body []byte) error {
 	c.mu.Lock()
+	if c.lost != nil {
+		c.mu.Unlock()
+		return c.lost
+	}
 	step, refused := c.machine.Client(typ, body)
 	if refused != nil {
 		reply := c.machine.Refuse(refused, typ == 'Q' || typ == 'S')
@@ -306,8 +319,13 @@
 		c.mu.Unlock()
 		return nil
 	}
+	prepared := c.machine.Prepared()
 	chunk := c.machine.Take()
 	c.mu.Unlock()
+	if len(prepared) > 0 {
+		// A further Start names statements that the following bytes refer to.
+		x.send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Start{Start: &peerpb.Start{Prepared: prepared}}})
+	}
 	x.forward(chunk)
 	return nil
 }
@@ -327,11 +345,14 @@
 func (c *client) awaitReady() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.awaiting && !c.dead && !c.machine.CopyIn() {
+	for c.awaiting && !c.dead && c.lost == nil && !c.machine.CopyIn() {
 		c.changed.Wait()
 	}
-	if c.dead {
+	switch {
+	case c.dead:
 		return errEnded
+	case c.lost != nil:
+		return c.lost
 	}
 	return nil
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -319,12 +319,10 @@
 		return
 	}
 	if c.machine.Status() != session.StatusIdle {
-		c.dead = true
+		c.lost = reason
 		c.changed.Broadcast()
 		c.mu.Unlock()
-		c.entry.refused(reason)
-		_ = c.write(session.FatalResponse(reason))
-		_ = c.conn.Close()
+		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 		return
 	}
 	c.entry.refused(reason)
--- a/internal/entry/fakehome_test.go
+++ b/internal/entry/fakehome_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -17,12 +18,13 @@
 
 // fakeHome is an Opener whose streams end at a small imitation of a database.
 type fakeHome struct {
-	mu       sync.Mutex
-	starts   []*peerpb.Start
-	position uint64
-	copied   []byte
-	aborted  int
-	openErr  error
+	mu        sync.Mutex
+	starts    []*peerpb.Start
+	position  uint64
+	copied    []byte
+	aborted   int
+	announced atomic.Int64
+	openErr   error
 	// running is signalled when a sleep statement has begun.
 	running chan struct{}
 }
@@ -38,16 +40,21 @@
 	h.starts = append(h.starts, start)
 	near, far := peer.Pipe(ctx)
 	r, w := io.Pipe()
-	s := &fakeStream{home: h, start: start, far: far, status: 'I', statements: map[string]string{}, cancel: make(chan struct{}, 1)}
-	for _, p := range start.Prepared {
-		s.statements[p.Name] = p.Query
-	}
+	s := &fakeStream{home: h, start: start, far: far, status: 'I', cancel: make(chan struct{}, 1)}
+	s.announce(start)
 	s.backend = pgproto3.NewBackend(r, s)
 	go s.feed(w)
 	go s.run()
 	return near, nil
 }
 
+func (s *fakeStream) announce(start *peerpb.Start) {
+	for _, p := range start.Prepared {
+		s.statements.Store(p.Name, p.Query)
+		s.home.announced.Add(1)
+	}
+}
+
 func (h *fakeHome) last() *peerpb.Start {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -63,7 +70,7 @@
 	status     byte
 	committed  bool
 	skipping   bool
-	statements map[string]string
+	statements sync.Map
 	portal     string
 	params     [][]byte
 	cancel     chan struct{}
@@ -77,6 +84,8 @@
 			return
 		}
 		switch k := m.Kind.(type) {
+		case *peerpb.RunRequest_Start:
+			s.announce(k.Start)
 		case *peerpb.RunRequest_Frontend:
 			_, _ = w.Write(k.Frontend)
 		case *peerpb.RunRequest_Cancel:
@@ -124,15 +133,15 @@
 		s.skipping = false
 		return more && s.ready()
 	case *pgproto3.Parse:
-		s.statements[m.Name] = m.Query
+		s.statements.Store(m.Name, m.Query)
 		if m.Query == "syntax" {
-			delete(s.statements, m.Name)
+			s.statements.Delete(m.Name)
 			s.fail("42601")
 			return true
 		}
 		s.backend.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
-		text, ok := s.statements[m.PreparedStatement]
+		text, ok := s.text(m.PreparedStatement)
 		if !ok {
 			s.fail("26000")
 			return true
@@ -143,7 +152,7 @@
 		}
 		s.backend.Send(&pgproto3.BindComplete{})
 	case *pgproto3.Describe:
-		text, ok := s.statements[m.Name]
+		text, ok := s.text(m.Name)
 		if m.ObjectType == 'S' && !ok {
 			s.fail("26000")
 			return true
@@ -171,6 +180,12 @@
 	return true
 }
 
+func (s *fakeStream) text(name string) (string, bool) {
+	v, ok := s.statements.Load(name)
+	text, _ := v.(string)
+	return text, ok
+}
+
 func (s *fakeStream) describe(text string) {
 	if !strings.HasPrefix(text, "select") {
 		s.backend.Send(&pgproto3.NoData{})
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/binary"
@@ -222,6 +223,27 @@
 	"DateStyle": true, "TimeZone": true,
 }
 
+// needsSet reports whether a startup parameter changes answers and differs from
+// what backend connections use. The application name of backend connections is
+// the proxy's own, and every positive extra_float_digits has the same effect.
+func needsSet(name, value string) bool {
+	switch name {
+	case "TimeZone":
+		return !strings.EqualFold(value, defaultTimeZone)
+	case "DateStyle":
+		return !strings.EqualFold(value, defaultDateStyle) && !strings.EqualFold(value, "ISO")
+	case "extra_float_digits":
+		return value != "1" && value != "2" && value != "3"
+	}
+	return false
+}
+
+// Values of session parameters on backend connections.
+const (
+	defaultTimeZone  = "UTC"
+	defaultDateStyle = "ISO, MDY"
+)
+
 func (c *client) applyParameters(parameters map[string]string) error {
 	for name := range parameters {
 		if !acceptedParameters[canonicalParameter(name)] && !strings.HasPrefix(name, "_pq_.") {
@@ -231,6 +253,11 @@
 	if encoding := parameters["client_encoding"]; encoding != "" && !isUTF8(encoding) {
 		return verdict.New(verdict.NotRun, verdict.Unsupported, "client_encoding %q is not supported, use UTF8", encoding)
 	}
+	for name, value := range parameters {
+		if known := canonicalParameter(name); needsSet(known, value) {
+			c.machine.Set(known, value)
+		}
+	}
 	if text := parameters[tokenParameter]; text != "" {
 		t, err := session.ParseToken(text)
 		if err != nil {
@@ -273,8 +300,8 @@
 		{"server_version", "16.0"},
 		{"server_encoding", "UTF8"},
 		{"client_encoding", "UTF8"},
-		{"DateStyle", "ISO, MDY"},
-		{"TimeZone", "UTC"},
+		{"DateStyle", cmp.Or(parameters["DateStyle"], defaultDateStyle)},
+		{"TimeZone", cmp.Or(parameters["TimeZone"], defaultTimeZone)},
 		{"IntervalStyle", "postgres"},
 		{"integer_datetimes", "on"},
 		{"standard_conforming_strings", "on"},
--- a/internal/session/backend.go
+++ b/internal/session/backend.go
@@ -54,6 +54,9 @@
 // passUnchanged walks over a chunk of whole messages. It reports false, without
 // an effect, when the chunk ends within a message or holds one that is dropped.
 func (m *Machine) passUnchanged(chunk []byte) bool {
+	if m.swallow > 0 {
+		return false
+	}
 	for rest := chunk; len(rest) > 0; {
 		if len(rest) < headerBytes || dropped(rest[0]) || rest[0] == 'E' && m.replacement != nil || rest[0] == '1' && m.injectedPending() {
 			return false
@@ -85,15 +88,24 @@
 
 // message notes a backend message and reports whether the client gets it.
 func (m *Machine) message(typ byte) bool {
+	if m.swallow > 0 {
+		switch typ {
+		case '1', '2', 'C':
+			m.swallow--
+			return false
+		case 'E':
+			m.swallow = 0
+		}
+	}
 	switch typ {
-	case '1':
-		if len(m.expected) > 0 {
+	case '1', '3':
+		if len(m.expected) > 0 && m.expected[0].closing == (typ == '3') {
 			e := m.expected[0]
 			m.expected = m.expected[1:]
 			return !e.injected
 		}
 	case 'E':
-		m.forgetUnparsed()
+		m.revert()
 		m.copyIn = false
 		if m.replacement != nil {
 			m.replacement = nil
--- a/internal/session/local.go
+++ b/internal/session/local.go
@@ -68,7 +68,6 @@
 	m.Raise(l.token)
 	if l.all {
 		clear(m.statements)
-		m.recent = nil
 	}
 	delete(m.statements, l.forget)
 	out, _ := (&pgproto3.CommandComplete{CommandTag: []byte(l.tag)}).Encode(nil)
--- a/internal/session/machine.go
+++ b/internal/session/machine.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -24,11 +25,13 @@
 	// maxStatements bounds the prepared statements of one client. pgx keeps 512
 	// by default.
 	maxStatements = 1024
-	// recentStatements is the number of statements announced when a transaction
-	// begins without naming any. Statements that are not announced cost a Parse
-	// at each use inside the transaction.
-	recentStatements = 16
-	headerBytes      = 5
+	// maxAnnounced bounds the named statements of one stream. It is half of what
+	// a backend connection keeps, so that none of them is evicted meanwhile.
+	maxAnnounced = 128
+	// settingAnswers is the number of messages that answer one parameter of the
+	// preamble: ParseComplete, BindComplete and CommandComplete.
+	settingAnswers = 3
+	headerBytes    = 5
 )
 
 // Step is what the entry host has to do after a client message.
@@ -51,9 +54,11 @@
 	readOnly bool
 	floor    Token
 	status   byte
+	// preamble holds the messages that set the session's parameters.
+	preamble []byte
+	settings int
 
 	statements map[string]*Statement
-	recent     []*Statement
 
 	// The fields below describe the open batch and the open stream.
 	out       []byte
@@ -74,13 +79,20 @@
 	// transaction; replacement is sent instead of the backend server's error.
 	aborting    bool
 	replacement []byte
+	// swallow is the number of answers to the preamble that are still owed.
+	swallow int
 }
 
-// expectation is one ParseComplete that the backend server still owes.
+// expectation is one ParseComplete or CloseComplete that the backend server
+// still owes.
 type expectation struct {
-	injected  bool
-	name      string
-	statement *Statement
+	closing  bool
+	injected bool
+	// name is what the message changed, previous what it replaced. Both are
+	// unset for injected messages and for portals.
+	name     string
+	named    bool
+	previous *Statement
 }
 
 // New returns the machine of a new session. On a read-only route every
@@ -120,10 +132,8 @@
 // Prepared returns the statements that the home host has to prepare before the
 // collected bytes, and remembers them as announced on the stream.
 func (m *Machine) Prepared() []*peerpb.Prepared {
-	if m.first == commandBegin || m.first == commandBeginReadOnly {
-		for _, s := range m.recent {
-			m.announce(s)
-		}
+	if len(m.needed) == 0 {
+		return nil
 	}
 	out := make([]*peerpb.Prepared, 0, len(m.needed))
 	for _, s := range m.needed {
@@ -133,9 +143,23 @@
 	return out
 }
 
+// Set makes every transaction start with the session parameter. It is for
+// startup parameters, which the client expects to last.
+func (m *Machine) Set(name, value string) {
+	text := "SET " + name + " TO '" + strings.ReplaceAll(value, "'", "''") + "'"
+	for _, msg := range []pgproto3.FrontendMessage{&pgproto3.Parse{Query: text}, &pgproto3.Bind{}, &pgproto3.Execute{}} {
+		m.preamble, _ = msg.Encode(m.preamble)
+	}
+	m.settings++
+}
+
 // Take returns the collected frontend bytes.
 func (m *Machine) Take() []byte {
 	b := m.out
+	if !m.started && m.status == StatusIdle && m.settings > 0 {
+		b = append(bytes.Clone(m.preamble), b...)
+		m.swallow = settingAnswers * m.settings
+	}
 	m.out = nil
 	m.started = true
 	return b
@@ -267,6 +291,7 @@
 	}
 	m.noteFirst(kind)
 	m.runs, m.simple, m.unnamed = true, true, nil
+	delete(m.statements, "")
 	m.out = appendMessage(m.out, 'Q', body)
 	return Step{Send: true, End: true}, nil
 }
@@ -307,8 +332,8 @@
 		return Step{}, mixedBatch()
 	}
 	m.noteFirst(kind)
+	m.expected = append(m.expected, expectation{name: p.Name, named: true, previous: m.statements[p.Name]})
 	m.store(p.Name, s)
-	m.expected = append(m.expected, expectation{name: p.Name, statement: s})
 	return m.parseUnnamed(s)
 }
 
@@ -331,8 +356,9 @@
 	m.statements[name] = s
 }
 
-// resolve returns the backend name for a statement of the client, and prepares
-// it inline when the stream is already open and did not announce it.
+// resolve returns the backend name for a statement of the client. A statement
+// that can no longer be announced, because a part of the batch has been sent, is
+// prepared inline as the unnamed statement.
 func (m *Machine) resolve(name string) (string, *verdict.Error) {
 	s := m.statements[name]
 	switch {
@@ -344,11 +370,10 @@
 		return "", nil
 	case m.announced[s.backend]:
 		return s.backend, nil
-	case !m.started && m.status == StatusIdle:
+	case !m.started && len(m.announced) < maxAnnounced:
 		m.announce(s)
 		return s.backend, nil
 	}
-	m.touch(s)
 	m.expected = append(m.expected, expectation{injected: true})
 	_, err := m.parseUnnamed(s)
 	return "", err
@@ -356,31 +381,11 @@
 
 // announce adds s to the statements that the home host prepares.
 func (m *Machine) announce(s *Statement) {
-	if m.announced[s.backend] {
-		return
-	}
 	if m.announced == nil {
 		m.announced = make(map[string]bool)
 	}
 	m.announced[s.backend] = true
 	m.needed = append(m.needed, s)
-	m.touch(s)
-}
-
-// touch moves s to the front of the recently used statements.
-func (m *Machine) touch(s *Statement) {
-	for i, r := range m.recent {
-		if r == s {
-			copy(m.recent[1:i+1], m.recent[:i])
-			m.recent[0] = s
-			return
-		}
-	}
-	if len(m.recent) < recentStatements {
-		m.recent = append(m.recent, nil)
-	}
-	copy(m.recent[1:], m.recent)
-	m.recent[0] = s
 }
 
 func (m *Machine) bind(body []byte) (Step, *verdict.Error) {
@@ -426,10 +431,14 @@
 		return m.localDescribeOrClose(typ, body[0], name)
 	}
 	if body[0] != 'S' {
+		if typ == 'C' {
+			m.expected = append(m.expected, expectation{closing: true})
+		}
 		return m.forward(typ, body), nil
 	}
 	backend := ""
 	if typ == 'C' {
+		m.expected = append(m.expected, expectation{closing: true, name: name, named: true, previous: m.statements[name]})
 		// Backend names are shared between sessions and stay. Closing the
 		// unnamed statement yields the CloseComplete that the client expects.
 		delete(m.statements, name)
@@ -466,7 +475,7 @@
 // transaction.
 func (m *Machine) Refuse(e *verdict.Error, ended bool) []byte {
 	reply := errorResponse("ERROR", e)
-	m.forgetUnparsed()
+	m.revert()
 	m.status = StatusIdle
 	m.endStream()
 	m.endBatch()
@@ -477,13 +486,25 @@
 	return reply
 }
 
-// forgetUnparsed removes statements whose ParseComplete never came.
-func (m *Machine) forgetUnparsed() {
-	for _, e := range m.expected {
-		if !e.injected && m.statements[e.name] == e.statement {
+// revert undoes the changes of Parse and Close messages that the backend server
+// did not confirm. The unnamed statement is dropped: a Parse that fails destroys
+// it, and one that was skipped cannot be told from it.
+func (m *Machine) revert() {
+	unparsed := false
+	for i := len(m.expected) - 1; i >= 0; i-- {
+		e := m.expected[i]
+		unparsed = unparsed || e.named && e.name == "" && !e.closing
+		switch {
+		case !e.named:
+		case e.previous == nil:
 			delete(m.statements, e.name)
+		default:
+			m.store(e.name, e.previous)
 		}
 	}
+	if unparsed {
+		delete(m.statements, "")
+	}
 	m.expected = nil
 }
 
@@ -496,7 +517,7 @@
 		reply = parameterStatus(tokenSetting, token.String())
 	}
 	m.status = status
-	m.forgetUnparsed()
+	m.revert()
 	m.endBatch()
 	if status == StatusIdle {
 		m.endStream()
@@ -507,7 +528,7 @@
 func (m *Machine) endBatch() {
 	m.out, m.runs, m.started, m.copyIn, m.simple = nil, false, false, false, false
 	m.local, m.localOut, m.unnamed = false, nil, nil
-	m.aborting, m.replacement = false, nil
+	m.aborting, m.replacement, m.swallow = false, nil, 0
 	if m.status == StatusIdle {
 		m.first = commandOther
 	}
