--- a/internal/cli/configure.go
+++ b/internal/cli/configure.go
@@ -14,7 +14,6 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
-	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 )
 
@@ -23,9 +22,6 @@
 // that apply compares with.
 const appliedFile = "applied.yaml"
 
-// callTimeout bounds one call of the command line to a host.
-const callTimeout = 10 * time.Second
-
 // filePerm is the mode of the files that the command line writes.
 const filePerm = 0o644
 
@@ -89,7 +85,7 @@
 func (a *app) applyCommand() *ff.Command {
 	flags := ff.NewFlagSet("apply")
 	a.jsonFlag(flags)
-	host := flags.String(0, "host", "", "peer address of any host, IP:port")
+	host := addHostFlags(flags)
 	base := flags.Int(0, "base", -1, "version that was edited; default is the one in "+appliedFile)
 	return &ff.Command{
 		Name:      "apply",
@@ -102,10 +98,10 @@
 			if err != nil {
 				return err
 			}
-			if *host == "" {
-				return usagef("--host is missing")
+			if err := host.require(); err != nil {
+				return err
 			}
-			return a.apply(ctx, *host, dir, *base)
+			return a.apply(ctx, host, dir, *base)
 		},
 	}
 }
@@ -114,7 +110,7 @@
 	Version uint64 `json:"version"`
 }
 
-func (a *app) apply(ctx context.Context, host, dir string, base int) error {
+func (a *app) apply(ctx context.Context, host *hostFlags, dir string, base int) error {
 	doc, err := config.Load(dir)
 	if err != nil {
 		return err
@@ -143,9 +139,9 @@
 	return nil
 }
 
-func publish(ctx context.Context, host string, data []byte, base uint64) (uint64, error) {
+func publish(ctx context.Context, host *hostFlags, data []byte, base uint64) (uint64, error) {
 	var version uint64
-	err := withHost(ctx, host, func(ctx context.Context, c peerpb.PeerClient) error {
+	err := host.call(ctx, func(ctx context.Context, c peerpb.PeerClient) error {
 		resp, err := c.Apply(ctx, &peerpb.ApplyRequest{Document: data, BaseVersion: base})
 		switch {
 		case err != nil:
@@ -162,18 +158,6 @@
 	return version, err
 }
 
-func withHost(ctx context.Context, host string, call func(context.Context, peerpb.PeerClient) error) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	pool := peer.NewPool(nil, nil)
-	defer pool.Close()
-	client, err := pool.Client(host)
-	if err != nil {
-		return err
-	}
-	return call(ctx, client)
-}
-
 func readApplied(dir string) (uint64, error) {
 	data, err := os.ReadFile(filepath.Join(dir, appliedFile))
 	if os.IsNotExist(err) {
@@ -317,25 +301,25 @@
 func (a *app) zoneChange(name, help string, out bool) *ff.Command {
 	flags := ff.NewFlagSet(name)
 	a.jsonFlag(flags)
-	host := flags.String(0, "host", "", "peer address of any host; with it the change is applied at once")
+	host := addHostFlags(flags)
 	dir := flags.String(0, "config", ".", "configuration directory")
 	return &ff.Command{
 		Name:      name,
 		Usage:     "cranberryhinge zone " + name + " [--config <DIRECTORY>] [--host <IP:PORT>] <ZONE>",
 		ShortHelp: help,
-		LongHelp:  "EXAMPLE\n  cranberryhinge zone " + name + " --config examples/sundarban --host 127.0.0.1:7401 kolkata",
+		LongHelp:  "With --host the change is applied at once.\n\nEXAMPLE\n  cranberryhinge zone " + name + " --config examples/sundarban --host 127.0.0.1:7401 kolkata",
 		Flags:     flags,
 		Exec: func(ctx context.Context, args []string) error {
 			zone, err := oneArg(args, "the availability zone")
 			if err != nil {
 				return err
 			}
-			return a.changeZone(ctx, *dir, *host, zone, out)
+			return a.changeZone(ctx, *dir, host, zone, out)
 		},
 	}
 }
 
-func (a *app) changeZone(ctx context.Context, dir, host, zone string, out bool) error {
+func (a *app) changeZone(ctx context.Context, dir string, host *hostFlags, zone string, out bool) error {
 	err := editFile(filepath.Join(dir, config.RulesFile), func(data []byte) ([]byte, error) {
 		return config.SetZoneOut(data, zone, out)
 	})
@@ -345,7 +329,7 @@
 	if _, err := config.Load(dir); err != nil {
 		return err
 	}
-	if host != "" {
+	if host.address != "" {
 		return a.apply(ctx, host, dir, -1)
 	}
 	if a.json {
--- a/internal/cli/inspect.go
+++ b/internal/cli/inspect.go
@@ -18,7 +18,7 @@
 func (a *app) statusCommand() *ff.Command {
 	flags := ff.NewFlagSet("status")
 	a.jsonFlag(flags)
-	host := flags.String(0, "host", "", "peer address of the host, IP:port")
+	host := addHostFlags(flags)
 	return &ff.Command{
 		Name:      "status",
 		Usage:     "cranberryhinge status --host <IP:PORT> [--json]",
@@ -26,27 +26,27 @@
 		LongHelp:  "EXAMPLE\n  cranberryhinge status --host 127.0.0.1:7401",
 		Flags:     flags,
 		Exec: func(ctx context.Context, _ []string) error {
-			if *host == "" {
-				return usagef("--host is missing")
+			if err := host.require(); err != nil {
+				return err
 			}
-			return a.status(ctx, *host)
+			return a.status(ctx, host)
 		},
 	}
 }
 
-func fetchStatus(ctx context.Context, host string) (report.Status, error) {
+func fetchStatus(ctx context.Context, host *hostFlags) (report.Status, error) {
 	var s report.Status
-	err := withHost(ctx, host, func(ctx context.Context, c peerpb.PeerClient) error {
+	err := host.call(ctx, func(ctx context.Context, c peerpb.PeerClient) error {
 		resp, err := c.Status(ctx, &peerpb.StatusRequest{})
 		if err != nil {
-			return errors.Wrapf(err, "status of %s", host)
+			return errors.Wrapf(err, "status of %s", host.address)
 		}
 		return errors.Wrap(json.Unmarshal(resp.GetJson(), &s), "decode status")
 	})
 	return s, err
 }
 
-func (a *app) status(ctx context.Context, host string) error {
+func (a *app) status(ctx context.Context, host *hostFlags) error {
 	s, err := fetchStatus(ctx, host)
 	if err != nil {
 		return err
@@ -93,7 +93,7 @@
 func (a *app) explainCommand() *ff.Command {
 	flags := ff.NewFlagSet("explain")
 	a.jsonFlag(flags)
-	host := flags.String(0, "host", "", "peer address of the host, IP:port")
+	host := addHostFlags(flags)
 	customer := flags.String(0, "customer", "", "customer; empty for a public route")
 	route := flags.String(0, "route", "", "route")
 	return &ff.Command{
@@ -103,15 +103,18 @@
 		LongHelp:  "EXAMPLE\n  cranberryhinge explain --host 127.0.0.1:7401 --customer head-office --route release-north-status",
 		Flags:     flags,
 		Exec: func(ctx context.Context, _ []string) error {
-			if *host == "" || *route == "" {
-				return usagef("--host and --route are needed")
+			if err := host.require(); err != nil {
+				return err
 			}
-			return a.explain(ctx, *host, *customer, *route)
+			if *route == "" {
+				return usagef("--route is missing")
+			}
+			return a.explain(ctx, host, *customer, *route)
 		},
 	}
 }
 
-func (a *app) explain(ctx context.Context, host, customer, route string) error {
+func (a *app) explain(ctx context.Context, host *hostFlags, customer, route string) error {
 	s, err := fetchStatus(ctx, host)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/peer/tls.go
@@ -0,0 +1,36 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// LoadTLS reads the PEM files for mutual TLS between hosts. It returns nil, for
+// plaintext, when no certificate is named.
+func LoadTLS(certificate, key, ca string) (*tls.Config, error) {
+	if certificate == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(certificate, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer certificate")
+	}
+	data, err := os.ReadFile(ca)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer CA")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, errors.Errorf("peer CA %s holds no certificate", ca)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}, nil
+}
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
 	"net"
 	"os"
 	"time"
@@ -11,6 +10,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 )
 
 // Settings are a host's own settings. Everything that all hosts share is in the
@@ -159,26 +159,5 @@
 
 // PeerTLS returns the mutual TLS settings between hosts, nil for plaintext.
 func (s *Settings) PeerTLS() (*tls.Config, error) {
-	if s.Peer.Certificate == "" {
-		return nil, nil
-	}
-	cert, err := tls.LoadX509KeyPair(s.Peer.Certificate, s.Peer.Key)
-	if err != nil {
-		return nil, errors.Wrap(err, "peer certificate")
-	}
-	ca, err := os.ReadFile(s.Peer.CA)
-	if err != nil {
-		return nil, errors.Wrap(err, "peer CA")
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(ca) {
-		return nil, errors.Errorf("peer CA %s holds no certificate", s.Peer.CA)
-	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{cert},
-		RootCAs:      pool,
-		ClientCAs:    pool,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		MinVersion:   tls.VersionTLS13,
-	}, nil
+	return peer.LoadTLS(s.Peer.Certificate, s.Peer.Key, s.Peer.CA)
 }
