--- a/cmd/cranberryhinge/main_test.go
+++ b/cmd/cranberryhinge/main_test.go
@@ -21,6 +21,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/cli"
 	"github.com/cranberryhinge/cranberryhinge/internal/cluster"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/faultnet"
 )
 
 // asProgram makes the test binary act as the program itself, so that the tests
@@ -96,6 +97,8 @@
 	clients   []string
 	peers     []string
 	key       string
+	// relays carry the hosts' connections to the databases.
+	relays []*faultnet.Relay
 }
 
 const testSecret = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
@@ -109,7 +112,7 @@
 	addresses := freeAddresses(t, 1+databases+2*hosts)
 	platform, dbs, rest := addresses[0], addresses[1:1+databases], addresses[1+databases:]
 	d.clients, d.peers = rest[:hosts], rest[hosts:]
-	d.writeConfiguration(t, dbs)
+	d.writeConfiguration(t, d.relayed(t, dbs))
 	d.writeCertificate(t)
 
 	d.platform = startProgram(t, "standin", "platform", "--listen", platform)
@@ -123,6 +126,21 @@
 	return d
 }
 
+// relayed puts a relay in front of each database. The databases reach each other
+// directly.
+func (d *deployment) relayed(t *testing.T, dbs []string) []string {
+	t.Helper()
+	var addresses []string
+	for _, a := range dbs {
+		r, err := faultnet.Listen("", a)
+		assert.NilError(t, err)
+		t.Cleanup(r.Close)
+		d.relays = append(d.relays, r)
+		addresses = append(addresses, r.Address())
+	}
+	return addresses
+}
+
 func (d *deployment) write(t *testing.T, name, content string) string {
 	t.Helper()
 	path := filepath.Join(d.dir, name)
@@ -243,8 +261,14 @@
 	return fmt.Errorf("%w; last: %v", ctx.Err(), last)
 }
 
+// answerLimit bounds the wait for any answer: the routes' deadline of 8 s and
+// the time to connect.
+const answerLimit = 10 * time.Second
+
 func (d *deployment) putOnce(ctx context.Context, t *testing.T, host int, key, value string) error {
 	t.Helper()
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
 	conn, err := d.connect(ctx, t, host, "main")
 	if err != nil {
 		return err
@@ -259,14 +283,9 @@
 	t.Helper()
 	var last error
 	for ctx.Err() == nil {
-		conn, err := d.connect(ctx, t, host, "main-read")
+		value, err := d.getOnce(ctx, t, host, key)
 		if err == nil {
-			var value string
-			err = conn.QueryRow(ctx, "SELECT value FROM kv WHERE key = $1", key).Scan(&value)
-			conn.Close(ctx)
-			if err == nil {
-				return value, nil
-			}
+			return value, nil
 		}
 		last = err
 		time.Sleep(50 * time.Millisecond)
@@ -274,6 +293,20 @@
 	return "", fmt.Errorf("%w; last: %v", ctx.Err(), last)
 }
 
+func (d *deployment) getOnce(ctx context.Context, t *testing.T, host int, key string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	conn, err := d.connect(ctx, t, host, "main-read")
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close(ctx)
+	var value string
+	err = conn.QueryRow(ctx, "SELECT value FROM kv WHERE key = $1", key).Scan(&value)
+	return value, err
+}
+
 func testContext(t *testing.T, d time.Duration) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), d)
@@ -284,6 +317,7 @@
 // Guards against the whole path failing between separate processes, and against
 // lost writes and stale reads through the crash of the primary and of a host.
 func TestSeparateProcesses(t *testing.T) {
+	t.Parallel()
 	d := startDeployment(t)
 	ctx := testContext(t, 60*time.Second)
 	assert.NilError(t, d.put(ctx, t, 0, "lot", "1"))
