Run the home host on the backend state machine

The queue, the connection budget and draining follow internal/backend. A takeover evicts older epochs and counts open connections before it opens its own. A closed connection counts until the backend server has closed its end. Quiet connections have to give a sign of life before a request is sent, and silent ones are found by pings and retired after a probe.

--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -303,6 +303,20 @@
 	return s.dispatch(now)
 }
 
+// Others returns the number that SetOthers set.
+func (s *Server) Others() int { return s.others }
+
+// RefuseWaiting refuses every new transaction that waits, for the reason.
+func (s *Server) RefuseWaiting(now time.Duration, reason verdict.Reason) []Action {
+	s.begin()
+	for _, r := range s.requests {
+		if r.state == waitsForConn {
+			s.refuseWaiter(r, reason)
+		}
+	}
+	return s.dispatch(now)
+}
+
 // Drain refuses waiting and new transactions for the reason, lets open ones end
 // and closes every connection.
 func (s *Server) Drain(now time.Duration, reason verdict.Reason) []Action {
@@ -310,9 +324,7 @@
 	s.draining = reason
 	for _, r := range s.requests {
 		if r.state == waitsForConn {
-			delete(s.requests, r.id)
-			s.drop(r)
-			s.out = append(s.out, Action{Kind: Refuse, Request: r.id, Reason: reason})
+			s.refuseWaiter(r, reason)
 		}
 	}
 	return s.dispatch(now)
--- a/internal/home/cancel.go
+++ b/internal/home/cancel.go
@@ -22,17 +22,25 @@
 	}
 	c := r.conn
 	c.markRetired()
-	r.p.wg.Go(func() { r.p.sendCancel(c) })
+	r.p.mu.Lock()
+	r.p.spawn(func() { r.p.sendCancel(c) })
+	r.p.mu.Unlock()
 }
 
 // sendCancel delivers a cancel request for what runs on the connection.
 func (p *pool) sendCancel(c *conn) {
 	ctx, cancel := context.WithTimeout(p.ctx, cancelTimeout)
 	defer cancel()
+	select {
+	case p.cancels <- struct{}{}:
+		defer func() { <-p.cancels }()
+	case <-ctx.Done():
+		return
+	}
 	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", p.server.Address)
+	nc, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
-		p.h.opt.Log.Warn().Str("server", p.server.Name).Err(err).Msg("cancel request")
+		p.h.opt.Log.Warn().Str("server", p.name).Err(err).Msg("cancel request")
 		return
 	}
 	defer func() { _ = nc.Close() }()
--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -7,11 +7,14 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/backend"
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 )
@@ -60,6 +63,10 @@
 	answerStatus
 	// answerBatch is the answer to a batch of the entry host.
 	answerBatch
+	// answerReset is the answer to the reset query. The connection is idle after it.
+	answerReset
+	// answerPing is the answer to a Sync that only asks for a sign of life.
+	answerPing
 )
 
 // answer is an answer that the backend server owes, up to ReadyForQuery.
@@ -89,42 +96,61 @@
 	serverError(*pgproto3.ErrorResponse) (withhold bool)
 	// copyIn reports that the backend server accepts copy data.
 	copyIn()
+	// pong reports the answer to a ping.
+	pong()
 	// ready reports the end of a batch's answer.
 	ready(txStatus byte)
 	// broken reports that the connection is unusable. It is called once.
 	broken(error)
 }
 
+// owner is told about the life of a connection by its reader goroutine.
+type owner interface {
+	// clean reports that the reset is done.
+	clean(*conn)
+	// ended reports the end. confirmed says that the backend server closed the
+	// connection; otherwise it may still count it as open.
+	ended(c *conn, err error, confirmed bool)
+}
+
 // conn is one data connection to a backend server. One goroutine reads it for
 // as long as it is open, so that its end is noticed while it is idle.
 type conn struct {
+	id     backend.ConnID
 	nc     net.Conn
 	pid    uint32
 	secret []byte
-	onEnd  func(c *conn, err error)
-
-	mu     sync.Mutex
-	owed   []answer
-	sink   sink
-	closed bool
+	owner  owner
+
+	mu   sync.Mutex
+	owed []answer
+	sink sink
+	// ending is set once the connection is being closed.
+	ending bool
+	// ended is set once the reader goroutine has left the connection.
+	ended bool
 	// retire is set when the connection must not serve another stream.
 	retire bool
 
 	statements *statements
 	heardAt    atomic.Int64
+	// resetFor is the request after which the connection is being reset, 0 none.
+	resetFor atomic.Uint64
 }
 
-func newConn(nc net.Conn, pid uint32, secret []byte, onEnd func(*conn, error)) *conn {
-	c := &conn{nc: nc, pid: pid, secret: secret, onEnd: onEnd, statements: newStatements()}
+func newConn(id backend.ConnID, raw *pgconn.HijackedConn, o owner) *conn {
+	c := &conn{id: id, nc: raw.Conn, pid: raw.PID, secret: raw.SecretKey, owner: o, statements: newStatements()}
 	c.heardAt.Store(time.Now().UnixNano())
 	return c
 }
 
-// attach makes s the receiver of the answers to come, nil none.
-func (c *conn) attach(s sink) {
+// attach makes s the receiver of the answers to come, nil none. It returns false
+// if the connection has ended.
+func (c *conn) attach(s sink) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.sink = s
-	c.mu.Unlock()
+	return !c.ended
 }
 
 // expect announces answers. It is called before the bytes that cause them are
@@ -141,28 +167,80 @@
 
 // write sends bytes, for at most until the deadline.
 func (c *conn) write(b []byte, deadline time.Time) error {
+	_, err := c.writeSome(b, deadline)
+	return err
+}
+
+// writeSome is write that also returns the number of bytes that may have been sent.
+func (c *conn) writeSome(b []byte, deadline time.Time) (int, error) {
 	if err := c.nc.SetWriteDeadline(deadline); err != nil {
-		return errors.Wrap(err, "set write deadline")
+		return 0, errors.Wrap(err, "set write deadline")
 	}
-	_, err := c.nc.Write(b)
-	return errors.Wrap(err, "write to backend server")
+	n, err := c.nc.Write(b)
+	return n, errors.Wrap(err, "write to backend server")
 }
 
-// close ends the connection. The reader goroutine then reports its end.
-func (c *conn) close() {
+// lingerTimeout bounds the wait for the backend server to close its end.
+const lingerTimeout = time.Second
+
+// end closes the connection. It asks the backend server to end the session and
+// leaves the socket open for up to lingerTimeout, because the server counts the
+// connection against its limit until it has closed it itself. The reader
+// goroutine reports the end. It returns false if the connection was ending
+// already.
+func (c *conn) end() bool {
 	c.mu.Lock()
-	c.closed = true
+	was := c.ending
+	c.ending = true
 	c.mu.Unlock()
-	_ = c.nc.Close()
+	if was {
+		return false
+	}
+	now := time.Now()
+	time.AfterFunc(lingerTimeout, func() { _ = c.nc.Close() })
+	if err := c.write(terminateBytes, now.Add(terminateTimeout)); err == nil {
+		if t, ok := c.nc.(*net.TCPConn); ok {
+			_ = t.CloseWrite()
+		}
+	}
+	return true
 }
 
+// terminateTimeout bounds the write of Terminate, which a full socket buffer
+// can block.
+const terminateTimeout = 10 * time.Millisecond
+
+// terminateBytes is the encoded Terminate message.
+var terminateBytes = encode(nil, &pgproto3.Terminate{})
+
 // usable reports whether the connection may serve another stream.
 func (c *conn) usable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.closed && !c.retire
+	return !c.ending && !c.retire
 }
 
+// idle reports whether no stream uses the connection.
+func (c *conn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sink == nil
+}
+
+// quietFor returns the time since the backend server last sent something.
+func (c *conn) quietFor(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, c.heardAt.Load()))
+}
+
+// ping asks for a sign of life.
+func (c *conn) ping(deadline time.Time) error {
+	c.expect(answer{kind: answerPing})
+	return c.write(syncBytes, deadline)
+}
+
+// syncBytes is the encoded Sync message.
+var syncBytes = encode(nil, &pgproto3.Sync{})
+
 // markRetired keeps the connection from serving another stream.
 func (c *conn) markRetired() {
 	c.mu.Lock()
@@ -200,14 +278,24 @@
 	r := reader{c: c, buf: make([]byte, readBuffer)}
 	err := r.loop()
 	c.mu.Lock()
-	c.closed = true
+	c.ended = true
 	s := c.sink
 	c.mu.Unlock()
-	_ = c.nc.Close()
 	if s != nil {
 		s.broken(err)
 	}
-	c.onEnd(c, err)
+	confirmed := closedByPeer(err)
+	if !confirmed {
+		c.end()
+		_, err := io.Copy(io.Discard, c.nc)
+		confirmed = err == nil || closedByPeer(err)
+	}
+	_ = c.nc.Close()
+	c.owner.ended(c, err, confirmed)
+}
+
+func closedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // reader splits the byte stream of a connection into messages. Messages that
@@ -471,10 +559,16 @@
 		if s != nil {
 			return s.statusRow(r.status)
 		}
+	case answerPing:
+		if s != nil {
+			s.pong()
+		}
+	case answerReset:
+		c.owner.clean(c)
 	case answerBatch:
 		c.statements.forget(a.parsing[a.parsed:])
 		if s == nil {
-			return io.ErrUnexpectedEOF
+			return errors.New("answer without receiver")
 		}
 		s.ready(txStatus)
 	}
--- a/internal/home/fake_test.go
+++ b/internal/home/fake_test.go
@@ -30,12 +30,13 @@
 	position uint64
 	// on, if set, may answer a statement instead; it returns false to decline.
 	on func(s *session, sql string) bool
+	// refuse makes new connections fail.
+	refuse bool
 	// silent sessions get no answers any more.
 	silent   map[*session]bool
 	sessions map[*session]bool
 	maxOpen  int
 	log      []string
-	evicted  uint64
 	cancels  []uint32
 }
 
@@ -46,6 +47,7 @@
 	pid      uint32
 	tx       byte
 	readOnly bool
+	epoch    uint64
 	prepared map[string]string
 	bound    string
 	failed   bool
@@ -78,6 +80,44 @@
 	})
 }
 
+// evict closes the data connections of older epochs.
+func (b *backendServer) evict(epoch uint64) {
+	b.with(func() {
+		for s := range b.sessions {
+			if s.epoch == 0 || s.epoch >= epoch {
+				continue
+			}
+			fatal, _ := (&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: "57P01"}).Encode(nil)
+			_, _ = s.nc.Write(fatal)
+			_ = s.nc.Close()
+			delete(b.sessions, s)
+		}
+	})
+}
+
+// busy waits until a statement with the prefix has arrived.
+func (b *backendServer) busy(prefix string) {
+	b.t.Helper()
+	assert.Assert(b.t, eventually(func() bool { return b.ran(prefix) > 0 }), "%s did not arrive", prefix)
+}
+
+// block makes statements with the prefix wait until the returned function is
+// called.
+func (b *backendServer) block(prefix string) (unblock func()) {
+	gate := make(chan struct{})
+	b.with(func() {
+		b.on = func(_ *session, sql string) bool {
+			if strings.HasPrefix(sql, prefix) {
+				<-gate
+			}
+			return false
+		}
+	})
+	unblock = sync.OnceFunc(func() { close(gate) })
+	b.t.Cleanup(unblock)
+	return unblock
+}
+
 func (b *backendServer) open() (n int) { b.with(func() { n = len(b.sessions) }); return n }
 
 // ran counts the statements with the prefix that arrived.
@@ -103,8 +143,18 @@
 		b.with(func() { b.cancels = append(b.cancels, c.ProcessID) })
 		return
 	}
-	b.with(func() { b.sessions[s] = true; b.maxOpen = max(b.maxOpen, len(b.sessions)) })
+	app := start.(*pgproto3.StartupMessage).Parameters["application_name"]
+	s.epoch, _ = strconv.ParseUint(app[strings.LastIndex(app, "/")+1:], 10, 64)
+	refuse := false
+	b.with(func() {
+		refuse = b.refuse
+		b.sessions[s] = true
+		b.maxOpen = max(b.maxOpen, len(b.sessions))
+	})
 	defer b.with(func() { delete(b.sessions, s) })
+	if refuse {
+		return
+	}
 	s.be.Send(&pgproto3.AuthenticationOk{})
 	s.be.Send(&pgproto3.BackendKeyData{ProcessID: pid, SecretKey: []byte{1, 2, 3, 4}})
 	s.be.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
@@ -186,7 +236,7 @@
 		s.status()
 	case strings.HasPrefix(sql, "SELECT cranberryhinge.evict("):
 		epoch, _ := strconv.ParseUint(strings.Trim(sql[len("SELECT cranberryhinge.evict"):], "()"), 10, 64)
-		b.with(func() { b.evicted = max(b.evicted, epoch) })
+		b.evict(epoch)
 		s.rows("")
 	case word == "SELECT":
 		s.rows(rest)
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -41,9 +41,9 @@
 	Authority   Authority
 	Log         *log.Logger
 	Counters    *telemetry.Counters
-	// OnEvicted, if set, is called when another home host evicted the
+	// OnEvicted, if set, is called, once for each Hold, when another home host evicted the
 	// connections to a server. The role row has to be read again; the server
-	// is served again after the next Hold.
+	// is served again after the next Hold. It must not block.
 	OnEvicted func(server string)
 }
 
@@ -59,7 +59,9 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
-	wg    sync.WaitGroup
+	// live holds every pool that has not ended yet.
+	live map[*pool]struct{}
+	wg   sync.WaitGroup
 }
 
 // New returns a Home that serves no backend server yet.
@@ -70,7 +72,7 @@
 	if opt.Log == nil {
 		opt.Log = &log.Logger{Level: log.PanicLevel}
 	}
-	h := &Home{opt: opt, openers: pond.NewPool(openers), pools: make(map[string]*pool)}
+	h := &Home{opt: opt, openers: pond.NewPool(openers), pools: make(map[string]*pool), live: make(map[*pool]struct{})}
 	h.ctx, h.stop = context.WithCancel(context.Background())
 	return h
 }
@@ -96,9 +98,18 @@
 	if p, ok := h.pools[server.Name]; ok && p.hold(group, server, epoch) {
 		return
 	}
+	if p, ok := h.pools[server.Name]; ok {
+		p.drain(verdict.WrongHome)
+	}
 	p := newPool(h, group, server, epoch)
 	h.pools[server.Name] = p
-	h.wg.Go(p.run)
+	h.live[p] = struct{}{}
+	h.wg.Go(func() {
+		p.run()
+		h.mu.Lock()
+		delete(h.live, p)
+		h.mu.Unlock()
+	})
 }
 
 // Release stops new work for a backend server and lets open work end.
@@ -106,11 +117,34 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if p, ok := h.pools[server]; ok {
-		p.drain()
+		p.drain(verdict.Draining)
 		delete(h.pools, server)
 	}
 }
 
+// Connections returns the number of open connections to a server, including
+// those of a role that was released and still drains.
+func (h *Home) Connections(server string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for p := range h.live {
+		if p.name == server {
+			n += p.own()
+		}
+	}
+	return n
+}
+
+// forget stops using a pool whose connections were evicted.
+func (h *Home) forget(p *pool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.pools[p.name] == p {
+		delete(h.pools, p.name)
+	}
+}
+
 // pool returns the pool of a server whose role is held.
 func (h *Home) pool(server string) (*pool, error) {
 	h.mu.Lock()
--- a/internal/home/pool.go
+++ b/internal/home/pool.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/backend"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
@@ -14,9 +17,6 @@
 )
 
 const (
-	// monitorConnections is the part of a server's connection limit that is
-	// left to status polls, probes, takeovers and cancel requests.
-	monitorConnections = 4
 	// dialTimeout bounds one attempt to connect.
 	dialTimeout = 2 * time.Second
 	// dialBackoff is the wait after a failed attempt.
@@ -25,184 +25,409 @@
 	resetTimeout = time.Second
 )
 
-// pool holds the data connections to one backend server.
+// pool holds the data connections to one backend server for one epoch of the
+// role. The state machine decides, the pool carries its actions out.
 type pool struct {
-	h      *Home
-	group  string
-	server config.Server
-	epoch  uint64
+	h       *Home
+	group   string
+	name    string
+	address string
+	epoch   uint64
+	start   time.Time
 
 	ctx  context.Context
 	stop context.CancelFunc
+	wg   sync.WaitGroup
+	// kick asks the control goroutine to count the server's connections.
+	kick chan struct{}
+	// cancels bounds the cancel requests in flight to one.
+	cancels chan struct{}
+	// probing and counting are set while such a task runs.
+	probing, counting atomic.Bool
+	status            atomic.Pointer[dbconn.Status]
 
-	idle  chan *conn
-	slots chan struct{}
-
-	mu     sync.Mutex
-	status dbconn.Status
-	all    map[*conn]struct{}
-	wg     sync.WaitGroup
+	mu      sync.Mutex
+	server  config.Server
+	machine *backend.Server
+	conns   map[backend.ConnID]*conn
+	runs    map[backend.RequestID]*run
+	lastID  uint64
+	// unreachable is set while no connection can be opened and none is open.
+	unreachable bool
+	draining    bool
+	drained     chan struct{}
 }
 
 func newPool(h *Home, group string, server config.Server, epoch uint64) *pool {
 	p := &pool{
-		h: h, group: group, server: server, epoch: epoch,
-		idle:  make(chan *conn, max(server.Connections, 1)),
-		slots: make(chan struct{}, max(server.Slots, 1)),
-		all:   make(map[*conn]struct{}),
+		h: h, group: group, name: server.Name, address: server.Address,
+		server: server, epoch: epoch, start: time.Now(),
+		kick:    make(chan struct{}, 1),
+		cancels: make(chan struct{}, 1),
+		machine: backend.New(settings(server)),
+		conns:   make(map[backend.ConnID]*conn),
+		runs:    make(map[backend.RequestID]*run),
+		drained: make(chan struct{}),
 	}
 	p.ctx, p.stop = context.WithCancel(h.ctx)
+	// Nothing is opened before the takeover has counted the open connections.
+	p.machine.SetOthers(0, server.Connections)
 	return p
 }
 
-// hold updates the pool, or reports that it has to be replaced.
+func settings(s config.Server) backend.Settings {
+	return backend.Settings{Slots: s.Slots, Connections: s.Connections}
+}
+
+func (p *pool) now() time.Duration { return time.Since(p.start) }
+
+// hold changes the settings, or reports that the pool has to be replaced.
 func (p *pool) hold(group string, server config.Server, epoch uint64) bool {
-	return p.group == group && p.server == server && p.epoch == epoch
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.draining || p.group != group || p.epoch != epoch || p.address != server.Address {
+		return false
+	}
+	p.server = server
+	p.apply(p.machine.Configure(p.now(), settings(server)))
+	return true
 }
 
-func (p *pool) drain() { p.stop() }
+// drain refuses new work for the reason and lets open work end. It returns false
+// if the pool drains already.
+func (p *pool) drain(reason verdict.Reason) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.draining {
+		return false
+	}
+	p.draining = true
+	p.apply(p.machine.Drain(p.now(), reason))
+	p.checkDrained()
+	return true
+}
 
-// run opens the connections and returns when all have ended.
+// checkDrained ends the pool once a draining one has no connection left.
+func (p *pool) checkDrained() {
+	if p.draining && p.machine.Drained() {
+		select {
+		case <-p.drained:
+		default:
+			close(p.drained)
+		}
+	}
+}
+
+// run takes the server over, keeps the connections and returns when all have
+// ended.
 func (p *pool) run() {
-	for range max(p.server.Connections-monitorConnections, 1) {
-		p.wg.Go(p.keepOpen)
+	p.wg.Go(p.control)
+	select {
+	case <-p.drained:
+	case <-p.ctx.Done():
 	}
-	<-p.ctx.Done()
+	p.stop()
 	p.mu.Lock()
-	for c := range p.all {
-		c.close()
+	open := make([]*conn, 0, len(p.conns))
+	for _, c := range p.conns {
+		open = append(open, c)
 	}
 	p.mu.Unlock()
+	for _, c := range open {
+		c.end()
+	}
 	p.wg.Wait()
 }
 
-// keepOpen keeps one connection open.
-func (p *pool) keepOpen() {
-	for p.ctx.Err() == nil {
-		c, err := p.open()
-		if err != nil {
-			p.h.opt.Log.Warn().Str("server", p.server.Name).Err(err).Msg("open backend connection")
-			select {
-			case <-time.After(dialBackoff):
-			case <-p.ctx.Done():
+// apply carries out the actions of the state machine. The lock is held.
+func (p *pool) apply(actions []backend.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case backend.Grant:
+			r := p.runs[a.Request]
+			r.conn = p.conns[a.Conn]
+			r.granted <- grant{}
+		case backend.Continue:
+			p.runs[a.Request].granted <- grant{}
+		case backend.Refuse:
+			r := p.runs[a.Request]
+			if r.conn == nil {
+				delete(p.runs, a.Request)
 			}
-			continue
-		}
-		p.mu.Lock()
-		p.all[c] = struct{}{}
-		p.mu.Unlock()
-		if p.ctx.Err() != nil {
-			c.close()
+			r.granted <- grant{err: verdict.New(verdict.NotRun, a.Reason, "%s: refused in the queue", p.name)}
+		case backend.Open:
+			p.open()
+		case backend.Close:
+			c := p.conns[a.Conn]
+			p.spawn(func() { c.end() })
 		}
-		p.idle <- c
-		c.read()
 	}
 }
 
-func (p *pool) open() (*conn, error) {
+// spawn starts a goroutine unless the pool stops. The lock is held, so that no
+// goroutine is added after run has begun to wait for them.
+func (p *pool) spawn(f func()) {
+	if p.ctx.Err() == nil {
+		p.wg.Go(f)
+	}
+}
+
+// open opens one connection on the shared worker pool. The lock is held.
+func (p *pool) open() {
+	if p.ctx.Err() != nil {
+		return
+	}
+	p.wg.Add(1)
+	err := p.h.openers.Go(func() {
+		defer p.wg.Done()
+		p.dial()
+	})
+	if err != nil {
+		p.wg.Done()
+	}
+}
+
+// dial opens one connection and hands it to the state machine.
+func (p *pool) dial() {
+	c, err := p.connect()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.dialFailed(err)
+		return
+	}
+	p.unreachable = false
+	p.conns[c.id] = c
+	p.wg.Go(c.read)
+	p.apply(p.machine.Opened(p.now(), c.id))
+	if p.ctx.Err() != nil {
+		p.wg.Go(func() { c.end() })
+	}
+	p.checkDrained()
+}
+
+// dialFailed refuses what waits for a connection when there is none at all, so
+// that requests are tried elsewhere at once. The lock is held.
+func (p *pool) dialFailed(err error) {
+	if p.ctx.Err() == nil {
+		p.h.opt.Log.Warn().Str("server", p.name).Err(err).Msg("open backend connection")
+	}
+	p.h.opt.Counters.Add("backend_dial_failed", 1)
+	if len(p.conns) == 0 {
+		p.unreachable = true
+		p.apply(p.machine.RefuseWaiting(p.now(), verdict.BackendUnreachable))
+	}
+	p.recount()
+	if p.ctx.Err() != nil {
+		p.apply(p.machine.OpenFailed(p.now()))
+		return
+	}
+	time.AfterFunc(dialBackoff, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.apply(p.machine.OpenFailed(p.now()))
+		p.checkDrained()
+	})
+}
+
+func (p *pool) connect() (*conn, error) {
 	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
 	defer cancel()
-	dc, err := dbconn.Dial(ctx, p.server.Address, p.h.opt.Credentials, p.h.application(p.epoch))
+	dc, err := dbconn.Dial(ctx, p.address, p.h.opt.Credentials, p.h.application(p.epoch))
 	if err != nil {
 		return nil, err
 	}
 	raw, err := dc.Hijack()
 	if err != nil {
 		_ = dc.Close()
-		return nil, err
+		return nil, errors.Wrap(err, "take over the connection")
+	}
+	if raw.Frontend.ReadBufferLen() > 0 {
+		_ = raw.Conn.Close()
+		return nil, errors.New("the backend server sent more than its greeting")
 	}
-	return newConn(raw.Conn, raw.PID, raw.SecretKey, p.ended), nil
+	p.mu.Lock()
+	p.lastID++
+	id := backend.ConnID(p.lastID)
+	p.mu.Unlock()
+	return newConn(id, raw, p), nil
 }
 
-// ended is called when a connection has ended.
-func (p *pool) ended(c *conn, _ error) {
+// ended implements owner.
+func (p *pool) ended(c *conn, err error, confirmed bool) {
+	var fatal *serverError
+	if errors.As(err, &fatal) && fatal.code == sqlStateAdminShutdown {
+		p.evicted()
+	}
 	p.mu.Lock()
-	delete(p.all, c)
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	delete(p.conns, c.id)
+	if !confirmed {
+		// The server may still count it; the next count settles that.
+		p.apply(p.machine.SetOthers(p.now(), p.machine.Others()+1))
+		p.recount()
+	}
+	if id := c.resetFor.Load(); id != 0 {
+		p.apply(p.machine.Finish(p.now(), backend.RequestID(id), false))
+	}
+	p.apply(p.machine.Closed(p.now(), c.id))
+	p.checkDrained()
 }
 
-// acquire waits for a slot and a connection for the stream.
+// evicted stops the pool, because another home host took the server over. The
+// server is served again after the next Hold.
+func (p *pool) evicted() {
+	if p.ctx.Err() != nil || !p.drain(verdict.WrongHome) {
+		return
+	}
+	p.h.opt.Counters.Add("home_evicted", 1)
+	p.h.opt.Log.Warn().Str("server", p.name).Uint64("epoch", p.epoch).Msg("connections were evicted")
+	p.h.forget(p)
+	if p.h.opt.OnEvicted != nil {
+		p.h.opt.OnEvicted(p.name)
+	}
+}
+
+// acquire waits for a connection and a slot for the stream.
 func (p *pool) acquire(r *run) error {
-	if err := p.resume(r); err != nil {
+	p.mu.Lock()
+	if err := p.refusal(); err != nil {
+		p.mu.Unlock()
 		return err
 	}
-	for {
-		select {
-		case c := <-p.idle:
-			if c.usable() {
-				r.conn = c
-				return nil
-			}
-		case <-r.cancelled:
-			p.yield(r)
-			return r.notSent(verdict.Cancelled, "cancelled in the queue")
-		case <-r.timer.C:
-			p.yield(r)
-			return r.notSent(verdict.DeadlineExceeded, "deadline passed in the queue")
-		case <-r.stream.Context().Done():
-			p.yield(r)
-			return r.stream.Context().Err()
-		case <-p.ctx.Done():
-			p.yield(r)
-			return r.notSent(verdict.Draining, "the home host of %s is stopping", p.server.Name)
-		}
+	p.lastID++
+	r.id = backend.RequestID(p.lastID)
+	p.runs[r.id] = r
+	p.apply(p.machine.Request(p.now(), r.id, r.start.Customer, p.deadline(r)))
+	p.mu.Unlock()
+	if err := p.await(r); err != nil {
+		p.leave(r)
+		return err
 	}
+	r.slot = true
+	return nil
 }
 
-// resume waits for a slot for a stream.
-func (p *pool) resume(r *run) error {
-	select {
-	case p.slots <- struct{}{}:
-		r.slot = true
+// refusal says why the server gets no new work. The lock is held.
+func (p *pool) refusal() error {
+	switch {
+	case p.server.Leaving:
+		return verdict.New(verdict.NotRun, verdict.ServerLeaving, "%s is leaving", p.name)
+	case p.unreachable:
+		return verdict.New(verdict.NotRun, verdict.BackendUnreachable, "%s cannot be reached", p.name)
+	default:
 		return nil
+	}
+}
+
+// deadline is the deadline of a stream on the clock of the state machine.
+func (p *pool) deadline(r *run) time.Duration { return r.deadline.Sub(p.start) }
+
+// await waits for a decision of the queue.
+func (p *pool) await(r *run) error {
+	select {
+	case g := <-r.granted:
+		return g.err
+	case <-r.cancelled:
+		return r.notSent(verdict.Cancelled, "cancelled in the queue")
 	case <-r.timer.C:
 		return r.notSent(verdict.DeadlineExceeded, "deadline passed in the queue")
 	case <-r.stream.Context().Done():
-		return r.stream.Context().Err()
+		return r.notSent(verdict.Cancelled, "entry host is gone")
+	}
+}
+
+// leave takes a stream that was not granted anything, or did not use it, out of
+// the queue.
+func (p *pool) leave(r *run) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.runs[r.id]; !ok {
+		return
+	}
+	delete(p.runs, r.id)
+	p.apply(p.machine.Finish(p.now(), r.id, true))
+}
+
+// resume waits for a slot for the next statement of a transaction.
+func (p *pool) resume(r *run) error {
+	p.mu.Lock()
+	p.apply(p.machine.Resume(p.now(), r.id, p.deadline(r)))
+	p.mu.Unlock()
+	if err := p.await(r); err != nil {
+		return err
 	}
+	r.slot = true
+	return nil
 }
 
 // yield gives the slot of a stream back.
 func (p *pool) yield(r *run) {
-	if r.slot {
-		<-p.slots
-		r.slot = false
+	if !r.slot {
+		return
+	}
+	r.slot = false
+	p.mu.Lock()
+	p.apply(p.machine.Yield(p.now(), r.id))
+	p.mu.Unlock()
+}
+
+// abandon closes a connection in use and cancels what runs on it, because the
+// backend server notices the end only between statements.
+func (p *pool) abandon(c *conn) {
+	if c.end() {
+		p.mu.Lock()
+		p.spawn(func() { p.sendCancel(c) })
+		p.mu.Unlock()
 	}
 }
 
-// release takes the connection of a stream back.
-func (p *pool) release(r *run, reuse bool) {
+// release takes the connection of a stream back. A clean one is reset first;
+// the state machine gets it back once the reset is answered, which also shows
+// that the connection still works.
+func (p *pool) release(r *run) {
 	p.yield(r)
 	c := r.conn
 	c.attach(nil)
-	if !reuse || !c.usable() {
-		c.close()
-		return
+	if c.usable() {
+		c.resetFor.Store(uint64(r.id))
+		c.expect(answer{kind: answerReset})
+		if err := c.write(resetBytes, time.Now().Add(resetTimeout)); err == nil {
+			p.mu.Lock()
+			delete(p.runs, r.id)
+			p.mu.Unlock()
+			return
+		}
 	}
-	c.expect(answer{kind: answerDiscard})
-	if err := c.write(resetBytes, time.Now().Add(resetTimeout)); err != nil {
-		c.close()
-		return
+	c.end()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.runs, r.id)
+	p.apply(p.machine.Finish(p.now(), r.id, false))
+}
+
+// clean implements owner.
+func (p *pool) clean(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reuse := c.usable()
+	p.apply(p.machine.Finish(p.now(), backend.RequestID(c.resetFor.Swap(0)), reuse))
+	if !reuse {
+		p.spawn(func() { c.end() })
 	}
-	p.idle <- c
 }
 
 // resetBytes is the encoded reset query.
 var resetBytes = encode(nil, &pgproto3.Query{String: resetQuery})
 
-func (p *pool) overdue(*run) {}
-
 // observe notes the newest status of the server.
-func (p *pool) observe(s dbconn.Status) {
-	p.mu.Lock()
-	p.status = s
-	p.mu.Unlock()
-}
+func (p *pool) observe(s dbconn.Status) { p.status.Store(&s) }
 
 func (p *pool) lastStatus() dbconn.Status {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.status
+	if s := p.status.Load(); s != nil {
+		return *s
+	}
+	return dbconn.Status{}
 }
 
 // primary reports whether the server last said that it is the primary.
@@ -230,7 +455,7 @@
 	if f := start.Floor; f != nil && (s.Term < f.Term || s.Position < f.Position) {
 		return 0, verdict.New(verdict.MayHaveRun, verdict.NoFreshReplica, "%s is at %d:%d, the session needs %d:%d", s.Server, s.Term, s.Position, f.Term, f.Position)
 	}
-	age, ok := p.h.opt.Authority.Age(p.group, s.Term, s.Position)
+	age, ok := p.h.opt.Authority.Age(start.Group, s.Term, s.Position)
 	if !ok {
 		return 0, verdict.New(verdict.MayHaveRun, verdict.NoFreshReplica, "the age of %s at %d:%d is unknown", s.Server, s.Term, s.Position)
 	}
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/backend"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
@@ -30,6 +31,7 @@
 const (
 	eventReady eventKind = iota
 	eventStatus
+	eventPong
 	eventCopyIn
 	eventFailed
 )
@@ -44,6 +46,9 @@
 // errGone ends a stream whose entry host is gone.
 var errGone = verdict.New(verdict.MayHaveRun, verdict.ConnectionLost, "entry host is gone")
 
+// errConnectionEnded refuses a request whose connection ended before its use.
+var errConnectionEnded error = verdict.New(verdict.NotRun, verdict.ConnectionLost, "the connection ended before the request was sent")
+
 // run is one Run stream: one transaction, or several that the entry host sent
 // without waiting. The methods in this file run in the stream's goroutine, those
 // in sink.go in the reader goroutine of the connection.
@@ -64,6 +69,11 @@
 	// eof is set once the entry host sends no more.
 	eof bool
 
+	id backend.RequestID
+	// granted carries the decisions of the queue. It has room for one, the most
+	// that can be outstanding.
+	granted chan grant
+	// conn is set under the pool's lock before the grant is sent.
 	conn     *conn
 	front    frontend
 	wanted   []*peerpb.Prepared
@@ -97,6 +107,9 @@
 	batch   answer
 }
 
+// grant is a decision of the queue: the request may go on, or err says why not.
+type grant struct{ err error }
+
 func newRun(h *Home, p *pool, s peer.RunServerStream, start *peerpb.Start) *run {
 	timeout := time.Duration(start.TimeoutUs) * time.Microsecond
 	if timeout <= 0 {
@@ -106,6 +119,7 @@
 		h: h, p: p, stream: s, start: start, timeout: timeout,
 		in:        make(chan *peerpb.RunRequest, requestDepth),
 		cancelled: make(chan struct{}),
+		granted:   make(chan grant, 1),
 		events:    make(chan event, 4),
 		done:      make(chan struct{}),
 		wanted:    start.Prepared,
@@ -137,10 +151,16 @@
 	if err := r.p.acquire(r); err != nil {
 		return err
 	}
-	r.conn.attach(r)
-	err := r.transact()
+	err := errConnectionEnded
+	if r.conn.attach(r) {
+		err = r.transact()
+	}
+	if r.dirty || r.inTx {
+		// Before finish, which waits for a send to a slow entry host.
+		r.p.abandon(r.conn)
+	}
 	r.finish()
-	r.p.release(r, !r.dirty && !r.inTx)
+	r.p.release(r)
 	return err
 }
 
@@ -274,6 +294,8 @@
 	}
 	wasIdle := !r.inTx
 	r.inTx, r.dirty = status != txIdle, false
+	r.running(false)
+	r.p.yield(r)
 	if err := r.withheldError(wasIdle, status); err != nil {
 		return err
 	}
@@ -283,7 +305,6 @@
 	}
 	r.front.answered()
 	r.timing = false
-	r.p.yield(r)
 	return r.sendReady(status, token)
 }
 
@@ -293,6 +314,9 @@
 // before any byte of it is sent.
 func (r *run) prologue() error {
 	r.prefix, r.term = batchPrefix{}, 0
+	if err := r.verify(); err != nil {
+		return err
+	}
 	if r.write() {
 		return nil
 	}
@@ -321,6 +345,43 @@
 	return nil
 }
 
+const (
+	// verifyAfter is the silence after which a connection has to give a sign of
+	// life before a request is sent on it, because a request that is lost on a
+	// silent link may have run. It costs one round trip on quiet servers.
+	verifyAfter = 250 * time.Millisecond
+	// verifyTimeout bounds the wait for the sign of life.
+	verifyTimeout = 500 * time.Millisecond
+)
+
+// verify makes sure that the connection still answers.
+func (r *run) verify() error {
+	now := time.Now()
+	if r.conn.quietFor(now) < verifyAfter {
+		return nil
+	}
+	r.dirty = true
+	limit := now.Add(verifyTimeout)
+	if err := r.conn.ping(limit); err != nil {
+		return verdict.New(verdict.NotRun, verdict.ConnectionLost, "%v", err)
+	}
+	timeout := time.NewTimer(verifyTimeout)
+	defer timeout.Stop()
+	select {
+	case ev := <-r.events:
+		if ev.kind == eventFailed {
+			return ev.err
+		}
+		r.dirty = false
+		return nil
+	case <-timeout.C:
+		r.p.overdue(r.conn)
+		return verdict.New(verdict.NotRun, verdict.AnswerOverdue, "a connection to %s is silent", r.start.Server)
+	case <-r.stream.Context().Done():
+		return errGone
+	}
+}
+
 // exchange sends the batch and returns the transaction status that ends its
 // answer.
 func (r *run) exchange() (byte, error) {
@@ -401,7 +462,6 @@
 	answers := append(r.prefix.answers, r.prefix.batch)
 	out = append(r.prefix.bytes, out...)
 	r.prefix = batchPrefix{}
-	r.sent = true
 	r.running(true)
 	return r.send(out, answers)
 }
@@ -418,7 +478,9 @@
 func (r *run) send(b []byte, answers []answer) error {
 	r.dirty = true
 	r.conn.expect(answers...)
-	if err := r.conn.write(b, r.deadline); err != nil {
+	n, err := r.conn.writeSome(b, r.deadline)
+	r.sent = r.sent || (n > 0 && r.front.started)
+	if err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.ConnectionLost, "%v", err)
 	}
 	return nil
@@ -426,19 +488,21 @@
 
 // await waits for an event of the kind.
 func (r *run) await(kind eventKind) (event, error) {
-	select {
-	case ev := <-r.events:
-		if ev.kind == eventFailed {
-			return event{}, ev.err
-		}
-		if ev.kind != kind {
-			return event{}, verdict.New(verdict.MayHaveRun, verdict.ConnectionLost, "unexpected answer of the backend server")
+	for {
+		select {
+		case ev := <-r.events:
+			switch ev.kind {
+			case kind:
+				return ev, nil
+			case eventFailed:
+				return event{}, ev.err
+			}
+			// An answer to a ping sent while the connection was idle.
+		case <-r.timer.C:
+			return event{}, r.overdue()
+		case <-r.stream.Context().Done():
+			return event{}, errGone
 		}
-		return ev, nil
-	case <-r.timer.C:
-		return event{}, r.overdue()
-	case <-r.stream.Context().Done():
-		return event{}, errGone
 	}
 }
 
@@ -447,7 +511,7 @@
 	if !r.sent && !r.dirty {
 		return r.notSent(verdict.DeadlineExceeded, "deadline passed before the request was sent")
 	}
-	r.p.overdue(r)
+	r.p.overdue(r.conn)
 	return verdict.New(verdict.MayHaveRun, verdict.AnswerOverdue, "no answer from %s within %v", r.start.Server, r.timeout)
 }
 
--- a/internal/home/sink.go
+++ b/internal/home/sink.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
@@ -258,6 +259,9 @@
 	r.post(event{kind: eventCopyIn})
 }
 
+// pong implements sink.
+func (r *run) pong() { r.post(event{kind: eventPong}) }
+
 // ready implements sink.
 func (r *run) ready(txStatus byte) {
 	if !r.write() {
@@ -277,7 +281,7 @@
 
 // connectionError gives the error of a connection its reason.
 func connectionError(err error) error {
-	if e, ok := err.(*verdict.Error); ok {
+	if e := (*verdict.Error)(nil); errors.As(err, &e) {
 		return e
 	}
 	return verdict.New(verdict.MayHaveRun, verdict.ConnectionLost, "%v", err)
