--- /dev/null
+++ b/internal/backend/bench_test.go
@@ -0,0 +1,62 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkQueue measures one request through a queue in which every customer
+// waits: request, grant and finish.
+func BenchmarkQueue(b *testing.B) {
+	for _, customers := range []int{8, 64, 512} {
+		b.Run(fmt.Sprint(customers), func(b *testing.B) {
+			s := New(Settings{Slots: 3, Connections: 20})
+			var now time.Duration
+			var next RequestID
+			var conns ConnID
+			var active []RequestID
+			names := make([]string, customers)
+			do := func(actions []Action) {
+				opens := 0
+				for _, a := range actions {
+					switch a.Kind {
+					case Grant:
+						active = append(active, a.Request)
+					case Open:
+						opens++
+					}
+				}
+				for range opens {
+					conns++
+					for _, a := range s.Opened(now, conns) {
+						if a.Kind == Open {
+							opens++
+						}
+					}
+				}
+			}
+			do(s.Tick(0))
+			for i := range names {
+				names[i] = fmt.Sprint("c", i)
+			}
+			request := func(i int) {
+				next++
+				do(s.Request(now, next, names[i%customers], now+time.Hour))
+			}
+			for i := range 2 * customers {
+				request(i)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				now += 3 * time.Millisecond
+				done := active[0]
+				active = active[:copy(active, active[1:])]
+				do(s.Finish(now, done, true))
+				request(i)
+				i++
+			}
+		})
+	}
+}
