--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
@@ -17,6 +18,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/group"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/standin"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
@@ -60,13 +62,20 @@
 
 var names = []string{"a", "b", "c"}
 
-func newWorld(t *testing.T) *world {
+var standinCredentials = dbconn.Credentials{User: "proxy", Password: "proxy", Database: "kv"}
+
+// newWorld runs three owners, on fake databases unless others are given.
+func newWorld(t *testing.T, dbs ...*standin.Database) *world {
 	w := &world{rows: map[string]platform.Row{}, dbs: map[string]*fakeDB{}, hosts: map[string]*host{}, polled: map[string]int{}}
 	g := config.Group{Name: "g", Durability: config.DurabilityReplicated}
 	for _, n := range names {
 		w.dbs[n] = &fakeDB{status: dbconn.Status{Server: n, Term: 1, Role: dbconn.Replica, Position: 10}}
 		g.Servers = append(g.Servers, config.Server{Name: n, Zone: "z" + n, Address: n})
 	}
+	dial := w.dial
+	for i, db := range dbs {
+		g.Servers[i].Address, dial = db.Address(), nil
+	}
 	w.dbs["a"].status.Role = dbconn.Primary
 	w.dbs["a"].status.Held = 10
 	w.doc = &config.Document{Inventory: config.Inventory{Groups: []config.Group{g}}}
@@ -75,7 +84,8 @@
 		h.lease = time.Now().Add(testTTL)
 		w.hosts[h.id.Name] = h
 		h.owner = New(Options{
-			Fleet: h, Table: w, Peers: h, Counters: telemetry.NewCounters(), Timing: testTiming(), Dial: w.dial,
+			Fleet: h, Table: w, Peers: h, Counters: telemetry.NewCounters(), Timing: testTiming(), Dial: dial,
+			Credentials: standinCredentials,
 		})
 	}
 	for _, h := range w.hosts {
@@ -423,3 +433,70 @@
 	defer cancel()
 	assert.Assert(t, w.owner("a").ConfirmRead(ctx, "g", 1) != nil, "a read needs a majority once the lease has lapsed")
 }
+
+// write commits a row and returns the position that covers it.
+func write(t *testing.T, db *standin.Database, key string) (position uint64) {
+	t.Helper()
+	conn, err := dbconn.Dial(t.Context(), db.Address(), standinCredentials, "test")
+	assert.NilError(t, err)
+	raw, err := conn.Hijack()
+	assert.NilError(t, err)
+	pg, err := pgconn.Construct(raw)
+	assert.NilError(t, err)
+	defer func() { _ = pg.Close(context.Background()) }()
+	_, err = pg.Exec(t.Context(), "INSERT INTO kv (key, value) VALUES ('"+key+"', 'x')").ReadAll()
+	assert.NilError(t, err)
+	return db.Status().Position
+}
+
+// Guards against a mismatch between the machine and the database contract of
+// the stand-in: confirmed writes survive two failovers, and each old primary
+// follows when it returns.
+func TestFailoversOnStandIn(t *testing.T) {
+	t.Parallel()
+	var settings []standin.DatabaseSettings
+	for _, n := range names {
+		settings = append(settings, standin.DatabaseSettings{
+			Name: n, Term: 1, Primary: "a", User: standinCredentials.User, Password: standinCredentials.Password,
+			TransportDelay: standin.Range{Max: 3 * time.Millisecond}, ApplyDelay: standin.Range{Max: 5 * time.Millisecond},
+		})
+	}
+	dbs, err := standin.StartGroup(settings...)
+	assert.NilError(t, err)
+	w := newWorld(t, dbs...)
+	t.Cleanup(func() {
+		for _, db := range dbs {
+			db.Kill()
+		}
+	})
+	primary := func() int {
+		return slices.IndexFunc(names, w.writable)
+	}
+	for round := range 2 {
+		w.eventually(t, "a primary is open", func() bool { return primary() >= 0 })
+		p := primary()
+		term, err := w.owner(names[p]).Writable("g", names[p])
+		assert.NilError(t, err)
+		position := write(t, dbs[p], fmt.Sprintf("round%d", round))
+		assert.NilError(t, w.owner(names[p]).ConfirmWrite(t.Context(), "g", term, position))
+		assert.NilError(t, w.owner(names[p]).ConfirmRead(t.Context(), "g", term))
+
+		dbs[p].Kill()
+		w.set(func() { w.hosts["h"+names[p]].down = true })
+		w.eventually(t, "another database is promoted", func() bool { q := primary(); return q >= 0 && q != p })
+		q := primary()
+		next, err := w.owner(names[q]).Writable("g", names[q])
+		assert.NilError(t, err)
+		assert.Assert(t, next > term)
+		assert.Assert(t, dbs[q].Status().Position > position, "the new primary must hold the confirmed write")
+		err = w.owner(names[p]).ConfirmWrite(t.Context(), "g", term, position+1)
+		assert.Assert(t, err != nil, "the old owner must not acknowledge")
+
+		w.set(func() { w.hosts["h"+names[p]].down = false })
+		assert.NilError(t, dbs[p].Restart())
+		w.eventually(t, "the old primary follows", func() bool {
+			st := dbs[p].Status()
+			return st.Role == string(dbconn.Replica) && st.Term == next && st.Position >= position
+		})
+	}
+}
