--- a/internal/group/decide.go
+++ b/internal/group/decide.go
@@ -368,7 +368,7 @@
 
 // schedule sends the reads, polls and questions that are due.
 func (m *Machine) schedule() {
-	if !m.homesAny() && !m.isOwner() && m.now >= m.probeUntil && !m.tracking() && !m.wantPoll && !m.wantQuorum {
+	if !m.homesAny() && !m.isOwner() && m.now >= m.probeUntil && !m.wantPoll && !m.wantQuorum {
 		return
 	}
 	m.scheduleRow()
@@ -380,7 +380,7 @@
 	t := m.opt.Timing
 	settling := m.swap != nil && m.swap.settle != 0
 	due := m.wantRow || settling || !m.rowKnown || (!m.isOwner() && m.now-m.readAt >= t.Refresh) ||
-		(m.now-m.readAt >= t.Suspect && (m.revision == 0 || m.watching() || (m.tracking() && m.ownerMissed())))
+		(m.now-m.readAt >= t.Suspect && (m.revision == 0 || m.watching()))
 	if m.reading || !due || (m.readID > 0 && m.readAt != 0 && m.now-m.readAt < t.Retry) {
 		return
 	}
@@ -432,14 +432,10 @@
 	}
 	missed := m.now-m.primaryOK > m.opt.Timing.Poll*3/2
 	everyone := (m.isOwner() && missed) || (m.watching() && m.ownerMissed())
-	every := m.opt.Timing.Poll
-	if !m.homesAny() && !m.isOwner() {
-		every = m.opt.Timing.Suspect // only tracks the primary; there may be hundreds of such hosts
-	}
 	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
 		p := m.peers[name]
 		due := everyone || (!m.isOwner() && name == m.row.Owner)
-		if p.inFlight || !due || (p.asked && m.now-p.sent < every) {
+		if p.inFlight || !due || (p.asked && m.now-p.sent < m.opt.Timing.Poll) {
 			continue
 		}
 		p.inFlight, p.asked, p.sent = true, true, m.now
--- a/internal/group/machine.go
+++ b/internal/group/machine.go
@@ -97,7 +97,6 @@
 	polls      map[string]*poll
 	peers      map[string]*peer
 	probeUntil time.Duration
-	trackUntil time.Duration
 	wantPoll   bool
 	wantQuorum bool
 
@@ -200,14 +199,6 @@
 	return m.actions
 }
 
-// Track makes a host without a home role in the group learn its primary for a while.
-func (m *Machine) Track(now time.Duration) {
-	m.now = max(m.now, now)
-	m.trackUntil = m.now + m.opt.Timing.Refresh
-}
-
-func (m *Machine) tracking() bool { return m.now < m.trackUntil }
-
 func (m *Machine) do(a Action)       { m.actions = append(m.actions, a) }
 func (m *Machine) count(name string) { m.do(Count{Name: name}) }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -304,17 +304,16 @@
 }
 
 // Primary returns the primary of a group, false while it is not known to be
-// open. A host without a home role in the group starts to follow it with the
-// first call and stops some time after the last.
+// open. Only hosts with a home role in the group follow its primary: at full
+// size every host uses hundreds of groups, and following all of them would
+// exceed the network budget of the control plane.
 func (o *Owner) Primary(name string) (server string, term uint64, ok bool) {
-	r := o.needed(name)
+	r := o.runner(name)
 	if r == nil {
 		return "", 0, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.usedAt = o.now()
-	r.machine.Track(r.usedAt)
 	return r.machine.Primary()
 }
 
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -21,7 +21,7 @@
 	// confirmInterval is the interval of status polls while somebody waits.
 	confirmInterval = 2 * time.Millisecond
 	// positionInterval is the interval of status polls while only questions for
-	// the position wait: hundreds of hosts may ask once a second.
+	// the position wait: hundreds of hosts may ask every few seconds.
 	positionInterval = 20 * time.Millisecond
 	// idleAfter is the time after which a group without a home here is dropped.
 	idleAfter = 10 * time.Second
