--- a/internal/group/decide.go
+++ b/internal/group/decide.go
@@ -174,8 +174,8 @@
 }
 
 // resign hands ownership on when the primary cannot replicate to a majority and
-// the other databases are out of reach: this zone is cut off, but not from the
-// store, so that no other host would ever find the lease lapsed.
+// neither databases nor hosts of other zones answer: this zone is cut off, but
+// not from the store, so that no other host would ever find the lease lapsed.
 func (m *Machine) resign() bool {
 	p := m.polls[m.row.Primary]
 	reachable := 0
@@ -192,7 +192,7 @@
 	if !m.lagging {
 		m.lagging, m.laggingFrom = true, m.now
 	}
-	if m.now-m.laggingFrom < 2*m.opt.Timing.Suspect || reachable >= m.majority() {
+	if m.now-m.laggingFrom < 2*m.opt.Timing.Suspect || reachable >= m.majority() || m.otherZoneAnswers() {
 		return false
 	}
 	to, ok := m.otherHome()
@@ -205,6 +205,13 @@
 	return true
 }
 
+func (m *Machine) otherZoneAnswers() bool {
+	return slices.ContainsFunc(m.servers, func(s Server) bool {
+		e := m.peers[s.Home.Name]
+		return e != nil && s.Home.Zone != m.opt.Self.Zone && e.ok && !e.missing && m.now-e.okSent < m.opt.Timing.Suspect
+	})
+}
+
 // otherHome returns the home host of a database in use, in another zone if possible.
 func (m *Machine) otherHome() (Host, bool) {
 	var best Host
@@ -431,7 +438,7 @@
 		return
 	}
 	missed := m.now-m.primaryOK > m.opt.Timing.Poll*3/2
-	everyone := (m.isOwner() && missed) || (m.watching() && m.ownerMissed())
+	everyone := (m.isOwner() && (missed || m.lagging)) || (m.watching() && m.ownerMissed())
 	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
 		p := m.peers[name]
 		due := everyone || (!m.isOwner() && name == m.row.Owner)
--- a/internal/group/named_test.go
+++ b/internal/group/named_test.go
@@ -119,6 +119,18 @@
 	})
 }
 
+// Guards against an owner that gives its group away, again and again, when only
+// the databases of the replicas are down.
+func TestBothReplicasDown(t *testing.T) {
+	t.Parallel()
+	eachSeed(t, replicated, func(s *sim) {
+		s.inject(fault{kind: "crash database", a: 1, at: 5 * time.Second, last: 15 * time.Second})
+		s.inject(fault{kind: "crash database", a: 2, at: 5 * time.Second, last: 15 * time.Second})
+	}, func(t *testing.T, s *sim) {
+		assert.Equal(t, s.steps[CountResigned]+s.steps[CountHandedOver]+s.steps[CountClaimed], 0)
+	})
+}
+
 // Guards against a holder that was paused past its lease and acts on stale
 // belief when it wakes up.
 func TestPausedOwnerWakesUp(t *testing.T) {
