--- a/internal/group/decide.go
+++ b/internal/group/decide.go
@@ -174,8 +174,8 @@
 }
 
 // resign hands ownership on when the primary cannot replicate to a majority and
-// the other databases are out of reach: this zone is cut off, but not from the
-// store, so that no other host would ever find the lease lapsed.
+// neither databases nor hosts of other zones answer: this zone is cut off, but
+// not from the store, so that no other host would ever find the lease lapsed.
 func (m *Machine) resign() bool {
 	p := m.polls[m.row.Primary]
 	reachable := 0
@@ -192,7 +192,7 @@
 	if !m.lagging {
 		m.lagging, m.laggingFrom = true, m.now
 	}
-	if m.now-m.laggingFrom < 2*m.opt.Timing.Suspect || reachable >= m.majority() {
+	if m.now-m.laggingFrom < 2*m.opt.Timing.Suspect || reachable >= m.majority() || m.otherZoneAnswers() {
 		return false
 	}
 	to, ok := m.otherHome()
@@ -205,6 +205,13 @@
 	return true
 }
 
+func (m *Machine) otherZoneAnswers() bool {
+	return slices.ContainsFunc(m.servers, func(s Server) bool {
+		e := m.peers[s.Home.Name]
+		return e != nil && s.Home.Zone != m.opt.Self.Zone && e.ok && !e.missing && m.now-e.okSent < m.opt.Timing.Suspect
+	})
+}
+
 // otherHome returns the home host of a database in use, in another zone if possible.
 func (m *Machine) otherHome() (Host, bool) {
 	var best Host
@@ -368,7 +375,7 @@
 
 // schedule sends the reads, polls and questions that are due.
 func (m *Machine) schedule() {
-	if !m.homesAny() && !m.isOwner() && m.now >= m.probeUntil && !m.tracking() && !m.wantPoll && !m.wantQuorum {
+	if !m.homesAny() && !m.isOwner() && m.now >= m.probeUntil && !m.wantPoll && !m.wantQuorum {
 		return
 	}
 	m.scheduleRow()
@@ -380,7 +387,7 @@
 	t := m.opt.Timing
 	settling := m.swap != nil && m.swap.settle != 0
 	due := m.wantRow || settling || !m.rowKnown || (!m.isOwner() && m.now-m.readAt >= t.Refresh) ||
-		(m.now-m.readAt >= t.Suspect && (m.revision == 0 || m.watching() || (m.tracking() && m.ownerMissed())))
+		(m.now-m.readAt >= t.Suspect && (m.revision == 0 || m.watching()))
 	if m.reading || !due || (m.readID > 0 && m.readAt != 0 && m.now-m.readAt < t.Retry) {
 		return
 	}
@@ -431,15 +438,11 @@
 		return
 	}
 	missed := m.now-m.primaryOK > m.opt.Timing.Poll*3/2
-	everyone := (m.isOwner() && missed) || (m.watching() && m.ownerMissed())
-	every := m.opt.Timing.Poll
-	if !m.homesAny() && !m.isOwner() {
-		every = m.opt.Timing.Suspect // only tracks the primary; there may be hundreds of such hosts
-	}
+	everyone := (m.isOwner() && (missed || m.lagging)) || (m.watching() && m.ownerMissed())
 	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
 		p := m.peers[name]
 		due := everyone || (!m.isOwner() && name == m.row.Owner)
-		if p.inFlight || !due || (p.asked && m.now-p.sent < every) {
+		if p.inFlight || !due || (p.asked && m.now-p.sent < m.opt.Timing.Poll) {
 			continue
 		}
 		p.inFlight, p.asked, p.sent = true, true, m.now
