Refuse bad input at the entry host with clear errors and bounded waits

Covers unreadable logins, half-sent requests, idle transactions, clients that do not read, oversized messages, unsupported session state, drain and cancel.

--- a/internal/entry/client.go
+++ b/internal/entry/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +49,8 @@
 	hard    bool
 	// lost is set when the open transaction was lost.
 	lost *verdict.Error
+	// busy is set while a message of the client is read and handled.
+	busy bool
 	// dead is set when nothing more can be sent to the client.
 	dead bool
 
@@ -75,6 +78,7 @@
 			err = c.handle(typ, body)
 			releaseBody(body)
 		}
+		c.setBusy(false)
 		if err != nil {
 			c.farewell(err)
 			return
@@ -82,6 +86,12 @@
 	}
 }
 
+func (c *client) setBusy(on bool) {
+	c.mu.Lock()
+	c.busy = on
+	c.mu.Unlock()
+}
+
 // farewell sends the error that ends the session, when there is one.
 func (c *client) farewell(err error) {
 	refused, ok := asRefusal(err)
@@ -139,25 +149,47 @@
 	if err := c.awaitMessage(header[:1]); err != nil {
 		return 0, nil, err
 	}
+	c.setBusy(true)
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.entry.opts.ClientPatience))
 	if _, err := io.ReadFull(c.conn, header[1:]); err != nil {
 		return 0, nil, c.halfSent(err)
 	}
-	size := int(binary.BigEndian.Uint32(header[1:])) - 4
+	size := int(int32(binary.BigEndian.Uint32(header[1:]))) - 4
 	if size < 0 {
 		return 0, nil, violation("invalid message length")
 	}
 	if size > maxMessageBytes {
 		return 0, nil, verdict.New(c.openVerdict(), verdict.MessageTooBig, "message of %d bytes is over the limit of %d", size, maxMessageBytes)
 	}
-	body = takeBody(size)
-	if _, err := io.ReadFull(c.conn, body); err != nil {
-		releaseBody(body)
+	if body, err = readBody(c.conn, size); err != nil {
 		return 0, nil, c.halfSent(err)
 	}
 	return header[0], body, nil
 }
 
+// readBody reads a message body. A large one takes memory as its bytes arrive,
+// so that a header alone takes none.
+func readBody(r io.Reader, size int) ([]byte, error) {
+	if size <= pooledBodyBytes {
+		body := (*bodies.Get().(*[]byte))[:size]
+		_, err := io.ReadFull(r, body)
+		if err != nil {
+			releaseBody(body)
+		}
+		return body, err
+	}
+	var body []byte
+	for len(body) < size {
+		have := len(body)
+		grown := min(size, max(firstBodyBytes, 2*have))
+		body = slices.Grow(body, grown-have)[:grown]
+		if _, err := io.ReadFull(r, body[have:]); err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 // awaitMessage waits for the first byte of a message. Between transactions it
 // waits without limit, and holds no buffer meanwhile.
 func (c *client) awaitMessage(first []byte) error {
@@ -366,7 +398,7 @@
 		c.closing, c.hard = reason, hard
 	}
 	running := c.awaiting || c.machine.InBatch()
-	wake := !running && (hard || c.machine.Status() == session.StatusIdle)
+	wake := !running && !c.busy && (hard || c.machine.Status() == session.StatusIdle)
 	x, opening := c.exchange, c.opening
 	c.mu.Unlock()
 	if !first {
@@ -413,6 +445,9 @@
 func (c *client) writeLocked(b []byte) error {
 	_ = c.conn.SetWriteDeadline(time.Now().Add(c.entry.opts.ClientPatience))
 	if _, err := c.conn.Write(b); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.entry.opts.Counters.Add("client_write_timeouts", 1)
+		}
 		return errEnded
 	}
 	return nil
@@ -421,14 +456,12 @@
 // bodies holds message bodies of usual size.
 var bodies = sync.Pool{New: func() any { b := make([]byte, pooledBodyBytes); return &b }}
 
-const pooledBodyBytes = 4 << 10
-
-func takeBody(size int) []byte {
-	if size > pooledBodyBytes {
-		return make([]byte, size)
-	}
-	return (*bodies.Get().(*[]byte))[:size]
-}
+const (
+	pooledBodyBytes = 4 << 10
+	// firstBodyBytes is the memory taken for a larger body before any byte of it
+	// has arrived.
+	firstBodyBytes = 64 << 10
+)
 
 func releaseBody(b []byte) {
 	if cap(b) == pooledBodyBytes {
--- a/internal/entry/fakehome_test.go
+++ b/internal/entry/fakehome_test.go
@@ -24,7 +24,10 @@
 	copied    []byte
 	aborted   int
 	announced atomic.Int64
-	openErr   error
+	// deaf streams ignore cancel requests, and blocked ones never open.
+	deaf    bool
+	block   bool
+	waiting atomic.Int64
 	// running is signalled when a sleep statement has begun.
 	running chan struct{}
 }
@@ -32,11 +35,13 @@
 func newFakeHome() *fakeHome { return &fakeHome{running: make(chan struct{}, 16)} }
 
 func (h *fakeHome) Open(ctx context.Context, start *peerpb.Start) (peer.RunStream, error) {
+	if h.block {
+		h.waiting.Add(1)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.openErr != nil {
-		return nil, h.openErr
-	}
 	h.starts = append(h.starts, start)
 	near, far := peer.Pipe(ctx)
 	r, w := io.Pipe()
@@ -48,6 +53,12 @@
 	return near, nil
 }
 
+func (h *fakeHome) aborts() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.aborted
+}
+
 func (s *fakeStream) announce(start *peerpb.Start) {
 	for _, p := range start.Prepared {
 		s.statements.Store(p.Name, p.Query)
@@ -89,7 +100,9 @@
 		case *peerpb.RunRequest_Frontend:
 			_, _ = w.Write(k.Frontend)
 		case *peerpb.RunRequest_Cancel:
-			s.cancel <- struct{}{}
+			if !s.home.deaf {
+				s.cancel <- struct{}{}
+			}
 		}
 	}
 }
@@ -263,6 +276,12 @@
 		for range 1000 {
 			s.backend.Send(&pgproto3.CopyData{Data: []byte("row of the table\n")})
 		}
+		for strings.Contains(rest, "endless") {
+			s.backend.Send(&pgproto3.CopyData{Data: make([]byte, 1<<16)})
+			if s.backend.Flush() != nil {
+				return true
+			}
+		}
 		s.backend.Send(&pgproto3.CopyDone{})
 		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("COPY 1000")})
 		return true
--- /dev/null
+++ b/internal/entry/lifecycle_test.go
@@ -0,0 +1,229 @@
+package entry
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
+)
+
+// withdraw publishes a configuration without the test key.
+func (f *fixture) withdraw() {
+	doc := testDocument()
+	doc.Inventory.Customers[0].Keys[0].Withdrawn = true
+	f.doc.Store(doc)
+	f.changed <- struct{}{}
+}
+
+// sleepStatement runs a statement that ends by cancellation only, and returns
+// when the home host runs it.
+func (f *fixture) sleepStatement(c *pgx.Conn) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "sleep")
+		done <- err
+	}()
+	<-f.home.running
+	return done
+}
+
+// Guards against a key that works on after it was withdrawn, and against a wrong
+// account of what happened to the statement that was running.
+func TestWithdrawnKeyEndsSessions(t *testing.T) {
+	for name, change := range map[string]func(*fixture){
+		"withdrawn": (*fixture).withdraw,
+		"stale":     func(f *fixture) { f.stale.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil)
+			idle, inTx, busy := f.rawSession("w"), f.connect("w"), f.connect("w")
+			tx, err := inTx.Begin(context.Background())
+			assert.NilError(t, err)
+			running := f.sleepStatement(busy)
+			change(f)
+			assert.Equal(t, errorCode(t, idle), "57P01")
+			_, err = tx.Exec(context.Background(), "insert")
+			assert.Equal(t, code(err), "57P01")
+			assert.Equal(t, code(<-running), "57014", "the backend server reported the cancellation")
+			_, err = busy.Exec(context.Background(), "insert")
+			assert.Equal(t, code(err), "57P01")
+			eventually(t, "end of all sessions", func() bool { return f.entry.Sessions() == 0 })
+			_, err = pgx.ConnectConfig(context.Background(), f.config("w", testKey, ""))
+			assert.Assert(t, err != nil)
+		})
+	}
+}
+
+// Guards against a statement that is reported as cancelled although its outcome
+// is unknown.
+func TestOverdueAnswer(t *testing.T) {
+	f := newFixture(t, nil)
+	f.home.deaf = true
+	c := f.connect("short")
+	began := time.Now()
+	_, err := c.Exec(context.Background(), "sleep")
+	assert.Equal(t, code(err), "08007")
+	assert.Assert(t, time.Since(began) < 5*time.Second)
+	assert.Equal(t, f.counters.RefusedFor(verdict.AnswerOverdue), int64(1))
+	selectText(t, c, "after the overdue answer")
+}
+
+// Guards against a planned stop that cuts a transaction or leaves a session open.
+func TestDrain(t *testing.T) {
+	f := newFixture(t, nil)
+	idle, open := f.rawSession("w"), f.connect("w")
+	tx, err := open.Begin(context.Background())
+	assert.NilError(t, err)
+	drained := make(chan error, 1)
+	go func() { drained <- f.entry.Drain(context.Background()) }()
+	assert.Equal(t, errorCode(t, idle), "57P01")
+	_, err = pgx.ConnectConfig(context.Background(), f.config("w", testKey, ""))
+	assert.Equal(t, code(err), "57P01")
+	for range 3 {
+		_, err = tx.Exec(context.Background(), "insert")
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, tx.Commit(context.Background()))
+	assert.NilError(t, <-drained)
+	_, err = open.Exec(context.Background(), "insert")
+	assert.Equal(t, code(err), "57P01")
+
+	f = newFixture(t, nil)
+	_, err = f.connect("w").Begin(context.Background())
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, f.entry.Drain(ctx), context.DeadlineExceeded)
+}
+
+// Guards against a cancel request that is lost, or that reaches a statement of
+// another session or a later one.
+func TestCancel(t *testing.T) {
+	f := newFixture(t, nil)
+	a, b := f.connect("w"), f.connect("w")
+	doneA, doneB := f.sleepStatement(a), f.sleepStatement(b)
+	assert.NilError(t, a.PgConn().CancelRequest(context.Background()))
+	assert.Equal(t, code(<-doneA), "57014")
+	select {
+	case err := <-doneB:
+		t.Fatalf("cancel reached another session: %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	assert.NilError(t, a.PgConn().CancelRequest(context.Background()))
+	selectText(t, a, "a cancel request between statements has no effect")
+	pid, secret := b.PgConn().PID(), binary.BigEndian.Uint32(b.PgConn().SecretKey())
+	assert.Assert(t, !f.entry.Cancel(pid, secret+1))
+	assert.Assert(t, f.entry.Cancel(pid, secret))
+	assert.Equal(t, code(<-doneB), "57014")
+}
+
+type forwarder struct {
+	mu    sync.Mutex
+	hosts []uint32
+}
+
+func (f *forwarder) ForwardCancel(_ context.Context, host, _, _ uint32) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts = append(f.hosts, host)
+	return nil
+}
+
+// Guards against a cancel request that does not find the host of its session.
+func TestCancelOfAnotherHost(t *testing.T) {
+	other := &forwarder{}
+	here := newFixture(t, nil)
+	there := newFixture(t, func(o *Options) { o.Host, o.Cancels = "host-b", other })
+	c := here.connect("w")
+	done := here.sleepStatement(c)
+	// The load balancer hands the cancel request to another host.
+	request, _ := (&pgproto3.CancelRequest{ProcessID: c.PgConn().PID(), SecretKey: c.PgConn().SecretKey()}).Encode(nil)
+	conn := there.raw()
+	_, err := conn.Write(request)
+	assert.NilError(t, err)
+	eventually(t, "forwarded cancel", func() bool {
+		other.mu.Lock()
+		defer other.mu.Unlock()
+		return len(other.hosts) == 1 && other.hosts[0] == HostNumber("host-a")
+	})
+	assert.NilError(t, c.PgConn().CancelRequest(context.Background()))
+	assert.Equal(t, code(<-done), "57014")
+}
+
+// Guards against a request that cannot be cancelled while it waits for a home
+// host, and against a wrong verdict for it.
+func TestCancelWhileOpening(t *testing.T) {
+	f := newFixture(t, nil)
+	f.home.block = true
+	c := f.connect("w")
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "insert")
+		done <- err
+	}()
+	eventually(t, "waiting request", func() bool { return f.home.waiting.Load() == 1 })
+	assert.NilError(t, c.PgConn().CancelRequest(context.Background()))
+	assert.Equal(t, code(<-done), "57014")
+}
+
+// Guards against pipelined batches whose answers are crossed, and against a
+// statement named in one batch that the next does not know.
+func TestPipeline(t *testing.T) {
+	f := newFixture(t, nil)
+	c := f.connect("w").PgConn()
+	p := c.StartPipeline(context.Background())
+	p.SendPrepare("p", "select $1", nil)
+	assert.NilError(t, p.Sync())
+	for _, arg := range []string{"one", "two"} {
+		p.SendQueryPrepared("p", [][]byte{[]byte(arg)}, nil, nil)
+		assert.NilError(t, p.Sync())
+	}
+	var got []string
+	for syncs := 0; syncs < 3; {
+		r, err := p.GetResults()
+		assert.NilError(t, err)
+		switch r := r.(type) {
+		case *pgconn.ResultReader:
+			for r.NextRow() {
+				got = append(got, string(r.Values()[0]))
+			}
+		case *pgconn.PipelineSync:
+			syncs++
+		}
+	}
+	assert.NilError(t, p.Close())
+	assert.DeepEqual(t, got, []string{"one", "two"})
+	// In a transaction the statement is announced once.
+	conn := f.connect("w")
+	tx, err := conn.Begin(context.Background())
+	assert.NilError(t, err)
+	before := f.home.announced.Load()
+	for range 3 {
+		selectText(t, tx, "x")
+	}
+	assert.NilError(t, tx.Commit(context.Background()))
+	assert.Equal(t, f.home.announced.Load(), before+1)
+}
+
+// Guards against SET of the token that pgx sends as a prepared statement.
+func TestSetTokenInExtendedProtocol(t *testing.T) {
+	f := newFixture(t, nil)
+	c := f.connect("r")
+	for range 2 {
+		rows, err := c.Query(context.Background(), "SET cranberryhinge.token TO 'g:3:4'")
+		assert.NilError(t, err)
+		rows.Close()
+		assert.NilError(t, rows.Err())
+	}
+	assert.Equal(t, len(f.home.starts), 0)
+	selectText(t, c, "x")
+	assert.Equal(t, f.home.last().Floor.GetPosition(), uint64(4))
+}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -100,8 +100,10 @@
 	streamEndWait = 5 * time.Second
 	// positionTimeout bounds one call for the position of a primary.
 	positionTimeout = 2 * time.Second
-	// maxHandshakes bounds the logins in progress at one time.
-	maxHandshakes = 1024
+	// maxHandshakes bounds the logins in progress at one time. It leaves room for
+	// the clients of a host that restarts, about 5,100 at full size, next to some
+	// that are silent.
+	maxHandshakes = 8192
 )
 
 func (o *Options) setDefaults() {
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -7,11 +7,13 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/session"
@@ -28,21 +30,29 @@
 	// connection.
 	maxNegotiations = 3
 	tokenParameter  = "cranberryhinge.token"
+	// loginTime bounds a login, so that silent clients do not hold the places for
+	// logins for long.
+	loginTime = 10 * time.Second
 )
 
 // login takes a new connection up to its first ReadyForQuery. The session then
 // gets a goroutine of its own, because the handshake grows this one's stack.
 func (e *Entry) login(conn net.Conn) {
 	setSocketOptions(conn)
-	_ = conn.SetDeadline(time.Now().Add(e.opts.ClientPatience))
+	_ = conn.SetDeadline(time.Now().Add(min(loginTime, e.opts.ClientPatience)))
 	c := &client{entry: e, conn: conn}
 	c.changed = sync.NewCond(&c.mu)
 	unhook := context.AfterFunc(e.base, func() { _ = conn.Close() })
 	defer unhook()
 	if err := c.start(); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = violation("the login was not finished in time")
+		}
 		if refused, ok := asRefusal(err); ok {
 			e.refused(refused)
-			_, _ = c.conn.Write(session.FatalResponse(refused))
+			if c.write(session.FatalResponse(refused)) == nil {
+				linger(c.conn)
+			}
 		}
 		_ = c.conn.Close()
 		if c.registered {
@@ -94,7 +104,7 @@
 	if _, err := io.ReadFull(c.conn, length[:]); err != nil {
 		return nil, err
 	}
-	size := int(binary.BigEndian.Uint32(length[:])) - len(length)
+	size := int(int32(binary.BigEndian.Uint32(length[:]))) - len(length)
 	if size < 4 || size > maxStartupBytes {
 		return nil, violation("invalid length of startup packet")
 	}
@@ -205,7 +215,7 @@
 	if _, err := io.ReadFull(c.conn, header[:]); err != nil {
 		return "", err
 	}
-	size := int(binary.BigEndian.Uint32(header[1:])) - 4
+	size := int(int32(binary.BigEndian.Uint32(header[1:]))) - 4
 	if header[0] != 'p' || size < 1 || size > maxPasswordBytes {
 		return "", violation("expected a password message")
 	}
--- a/internal/session/keyword.go
+++ b/internal/session/keyword.go
@@ -14,6 +14,7 @@
 	commandDeallocate
 	commandDiscardAll
 	commandUnsupported
+	commandSessionObject
 	commandReadWrite
 )
 
@@ -67,8 +68,18 @@
 			return commandDiscardAll
 		}
 		return commandOther
-	case "listen", "unlisten", "prepare", "execute", "load":
+	case "listen", "prepare", "execute", "load":
 		return commandUnsupported
+	case "declare":
+		return commandSessionObject
+	case "create":
+		if w = w[1:]; hasPrefix(w, "local") || hasPrefix(w, "global") {
+			w = w[1:]
+		}
+		if hasPrefix(w, "temp") || hasPrefix(w, "temporary") {
+			return commandSessionObject
+		}
+		return commandOther
 	default:
 		return commandOther
 	}
--- a/internal/session/machine.go
+++ b/internal/session/machine.go
@@ -300,6 +300,8 @@
 	switch {
 	case kind == commandUnsupported:
 		return verdict.New(verdict.NotRun, verdict.Unsupported, "the statement needs session state, which a proxied connection does not keep")
+	case kind == commandSessionObject && m.status == StatusIdle && m.first != commandBegin && m.first != commandBeginReadOnly:
+		return verdict.New(verdict.NotRun, verdict.Unsupported, "temporary objects and cursors are available within a transaction only")
 	case kind == commandReadWrite && m.Read():
 		return verdict.New(verdict.NotRun, verdict.Unsupported, "read-write mode is not available on a read-only route or transaction")
 	}
--- a/internal/session/machine_test.go
+++ b/internal/session/machine_test.go
@@ -241,6 +241,8 @@
 		"set transaction read write":                   commandReadWrite,
 		"SET default_transaction_read_only=0":          commandReadWrite,
 		"set cranberryhinge.token='g:1:2'":             commandSetToken,
+		"create local temporary table t (a int)":       commandSessionObject,
+		"create table temp (a int)":                    commandOther,
 		"LISTEN x":                                     commandUnsupported,
 		"deallocate all":                               commandDeallocate,
 		"discard all;":                                 commandDiscardAll,
