--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -105,15 +105,23 @@
 		return
 	}
 	if c.confirmed.version == c.document.Version {
-		c.fresh, c.freshAt = true, max(c.freshAt, c.confirmed.at)
+		c.current(c.confirmed.at)
 	}
 	if c.known <= c.document.Version {
 		if at, ok := f.attested(now); ok {
-			c.fresh, c.freshAt = true, max(c.freshAt, at)
+			c.current(at)
 		}
 	}
 }
 
+// current records that the document in force was current at a time, which may
+// precede the start of this process.
+func (c *configState) current(at time.Duration) {
+	if !c.fresh || at > c.freshAt {
+		c.fresh, c.freshAt = true, at
+	}
+}
+
 // attested returns the moment of the oldest attestation over every host of the
 // inventory that is not known to be gone. A refused connection shows that
 // nothing was accepted at that address at that time. A host that has said
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -138,6 +138,7 @@
 		f.lease.giveUp = true
 		f.duties[DutyLease].next = now
 	}
+	f.extendMinting(now)
 	f.startDue(now)
 	out := f.actions
 	f.actions = nil
@@ -152,6 +153,7 @@
 		f.started, f.start, f.lastStoreOK = true, now, now-promiseAfter
 	}
 	f.lease.expire(now, f.guards)
+	f.expireMinting(now)
 }
 
 func (f *Fleet) emit(a Action) { f.actions = append(f.actions, a) }
--- a/internal/fleet/promise.go
+++ b/internal/fleet/promise.go
@@ -21,33 +21,75 @@
 	return now >= f.promisedUntil && now >= f.start+promiseDuration
 }
 
+// cover returns the moment until which every other host of the own zone has
+// promised not to take minter roles over. A refused connection counts as a
+// promise, because a process that starts later observes the quiet period.
+func (f *Fleet) cover(now time.Duration) time.Duration {
+	until := now + promiseDuration
+	for _, h := range f.conf.document.Inventory.Hosts {
+		p := f.records[h.Name]
+		if h.Zone != f.self.Zone || p == f.me {
+			continue
+		}
+		if p == nil || !p.promised && !p.refused {
+			return 0
+		}
+		var at time.Duration
+		switch {
+		case !p.refused:
+			at = p.promisedAt
+		case !p.promised:
+			at = p.refusedAt
+		default:
+			at = max(p.promisedAt, p.refusedAt)
+		}
+		until = min(until, at+withoutMargin(promiseDuration))
+	}
+	return until
+}
+
+// expireMinting ends the minting of roles whose cover has run out. It runs
+// before every input: a promise that arrives later says nothing about a
+// take-over in the gap.
+func (f *Fleet) expireMinting(now time.Duration) {
+	for _, r := range f.roles.order {
+		if r.covered && (!r.held || now >= r.mintUntil) {
+			r.covered = false
+		}
+	}
+}
+
+// extendMinting prolongs the minting of the roles that were held under a live
+// lease and have been covered ever since, first by the lease and then by
+// promises.
+func (f *Fleet) extendMinting(now time.Duration) {
+	if f.conf.document == nil {
+		return
+	}
+	promised := f.cover(now)
+	for _, r := range f.roles.order {
+		if !r.held || !r.rate {
+			continue
+		}
+		if f.holdsLive(now, r) {
+			r.covered, r.mintUntil = true, max(r.mintUntil, f.lease.until)
+		}
+		if r.covered && r.zone == f.self.Zone {
+			r.mintUntil = max(r.mintUntil, promised)
+		}
+	}
+}
+
 // MayMint reports whether the role is held here and either the lease is live or
-// every other host of the zone has promised not to take the role over. A
-// refused connection counts as a promise, because a process that starts later
-// observes the quiet period.
+// every other host of the zone has promised, without a gap since the lease was
+// live, not to take the role over.
 func (f *Fleet) MayMint(now time.Duration, name string) bool {
 	r, ok := f.roles.byName[name]
 	if !ok || !r.held || f.stopped {
 		return false
 	}
-	if f.holdsLive(now, r) {
+	if f.holdsLive(now, r) || f.guards.noPromise {
 		return true
 	}
-	if r.zone != f.self.Zone || !f.lease.everHeld || f.leaving || f.lease.giveUp {
-		return false
-	}
-	if f.guards.noPromise {
-		return true
-	}
-	valid := withoutMargin(promiseDuration)
-	for _, h := range f.conf.document.Inventory.Hosts {
-		p := f.records[h.Name]
-		if h.Zone != r.zone || p == f.me {
-			continue
-		}
-		if p == nil || !(p.promised && now-p.promisedAt < valid || p.refused && now-p.refusedAt < valid) {
-			return false
-		}
-	}
-	return true
+	return r.covered && now < r.mintUntil && !f.leaving && !f.lease.giveUp
 }
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -42,6 +42,10 @@
 	// held is set while this host keeps the role under heldAs.
 	held   bool
 	heldAs roleRow
+	// covered is set while a minter role has been protected against a take-over
+	// without a gap. mintUntil is the end of what protects it now.
+	covered   bool
+	mintUntil time.Duration
 	// releasing is set from the decision to hand the role over until a newer
 	// row has been read.
 	releasing bool
