Keep a predecessor's grants reserved at a new minter

Cause: a property test found 10 admissions over a limit of 6/s with a burst of 1. A new minter started empty but filled its bucket while a grant of its predecessor could still be spent. A second case: an expired reserve was released before the elapsed time was minted, so that time under the reserve was minted after all. Change: a new minter reserves the whole burst for the life of a grant, and reserves end in the order of their expiry.

--- a/internal/customer/minter.go
+++ b/internal/customer/minter.go
@@ -50,9 +50,24 @@
 }
 
 // NewMinter returns an empty bucket. A new holder of the role starts empty,
-// because its predecessor may just have granted everything.
+// because its predecessor may just have granted everything. Grants of the
+// predecessor can still be spent, so that the whole burst stays reserved until
+// they have expired.
 func NewMinter(limit Limit, now time.Duration, firstGrant GrantID) *Minter {
-	return &Minter{limit: limit, minted: now, grants: map[GrantID]grant{}, next: firstGrant}
+	m := &Minter{limit: limit, minted: now, grants: map[GrantID]grant{}, next: firstGrant + 1}
+	m.reserve(firstGrant, limit.Burst, now+lifetime(GrantValidity))
+	return m
+}
+
+// lifetime is how long after granting a grant that is valid for the time at its
+// receiver can still be spent.
+func lifetime(valid time.Duration) time.Duration {
+	return valid + valid*clockSkewPercent/100 + expiryMargin
+}
+
+func (m *Minter) reserve(id GrantID, amount float64, expires time.Duration) {
+	m.reserved += amount
+	m.grants[id] = grant{amount: amount, expires: expires}
 }
 
 // SetLimit changes the limit. Tokens above the new burst are dropped.
@@ -74,11 +89,9 @@
 	}
 	give = tokens(amount)
 	m.level -= give
-	m.reserved += give
 	id := m.next
 	m.next++
-	lifetime := valid + valid*clockSkewPercent/100 + expiryMargin
-	m.grants[id] = grant{amount: give, expires: now + lifetime}
+	m.reserve(id, give, now+lifetime(valid))
 	return id, amount
 }
 
@@ -111,28 +124,43 @@
 // room is the capacity that is not promised to receivers of grants.
 func (m *Minter) room() float64 { return max(0, m.limit.Burst-m.reserved) }
 
+// mint brings the bucket up to now. Reserves end in the order of their expiry:
+// what a reserve kept from being minted before its end is not minted later.
 func (m *Minter) mint(now time.Duration) {
-	m.expire(now)
-	if now <= m.minted {
+	for {
+		id, ok := m.firstExpired(now)
+		if !ok {
+			break
+		}
+		m.mintUntil(m.grants[id].expires)
+		m.reserved -= m.grants[id].amount
+		delete(m.grants, id)
+	}
+	if len(m.grants) == 0 {
+		m.reserved = 0 // removes the rounding error of earlier sums
+	}
+	m.mintUntil(now)
+}
+
+func (m *Minter) mintUntil(t time.Duration) {
+	if t <= m.minted {
 		return
 	}
-	fresh := m.limit.Rate * (now - m.minted).Seconds()
-	m.minted = now
+	fresh := m.limit.Rate * (t - m.minted).Seconds()
+	m.minted = t
 	m.level = min(m.level+fresh, max(m.room(), m.level))
 }
 
-// expire releases the reserves of grants that no receiver honours any more.
-// Their tokens are lost.
-func (m *Minter) expire(now time.Duration) {
+// firstExpired returns the grant that expired first. Its tokens are lost.
+func (m *Minter) firstExpired(now time.Duration) (GrantID, bool) {
+	var first GrantID
+	found := false
 	for id, g := range m.grants {
-		if now >= g.expires {
-			m.reserved -= g.amount
-			delete(m.grants, id)
+		if now >= g.expires && (!found || g.expires < m.grants[first].expires) {
+			first, found = id, true
 		}
 	}
-	if len(m.grants) == 0 {
-		m.reserved = 0 // removes the rounding error of earlier sums
-	}
+	return first, found
 }
 
 func tokens(a Amount) float64 { return float64(a) / float64(OneRequest) }
