End open work under a role before it is handed over

The role row changed while the transaction was open, and the new home host evicted its connection. Change: the store call that hands a role over waits, up to 5 s, until the home shell has no open work for the backend server; new work is refused as not run and retried.

--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -158,6 +158,9 @@
 		After  platform.Revision
 		Expect platform.Revision
 		Value  []byte
+		// Releases is the role that the call hands over, if any. Its open work
+		// has to end before the call, because the new holder cuts it off.
+		Releases string
 	}
 	// FetchFromPeer asks a peer for its newest document.
 	FetchFromPeer struct {
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -301,9 +301,11 @@
 	}
 	w.row.Writer = f.writer
 	s.pending = w
-	f.send(DutyRoleWrite, now, StoreCall{
-		Op: OpCompareAndSwap, Key: rolePrefix + w.role.name, Expect: w.expect, Value: encode(w.row),
-	})
+	call := StoreCall{Op: OpCompareAndSwap, Key: rolePrefix + w.role.name, Expect: w.expect, Value: encode(w.row)}
+	if w.role.releasing {
+		call.Releases = w.role.name
+	}
+	f.send(DutyRoleWrite, now, call)
 }
 
 // chooseRenewal writes a kept role again after the lease was regained. The row
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -8,6 +8,7 @@
 
 	"github.com/alitto/pond/v2"
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
@@ -122,6 +123,31 @@
 	}
 }
 
+// Drain releases a backend server and returns once its open work has ended.
+func (h *Home) Drain(ctx context.Context, server string) error {
+	h.Release(server)
+	for _, p := range h.livePools(server) {
+		select {
+		case <-p.drained:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "drain %s", server)
+		}
+	}
+	return nil
+}
+
+func (h *Home) livePools(server string) []*pool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var pools []*pool
+	for p := range h.live {
+		if p.name == server {
+			pools = append(pools, p)
+		}
+	}
+	return pools
+}
+
 // Connections returns the number of open connections to a server, including
 // those of a role that was released and still drains.
 func (h *Home) Connections(server string) int {
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -38,7 +38,26 @@
 	}
 }
 
+// releaseTimeout bounds the wait for open work on a role that is handed over.
+const releaseTimeout = 5 * time.Second
+
+// release waits until no work is open under a role that is handed over.
+func (m *Member) release(role string) {
+	if m.opt.Release == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, releaseTimeout)
+	defer cancel()
+	if err := m.opt.Release(ctx, role); err != nil {
+		m.opt.Counters.Add("fleet_release_overdue", 1)
+		m.opt.Logger.Warn().Str("role", role).Err(err).Msg("role is handed over with open work")
+	}
+}
+
 func (m *Member) store(c fleet.StoreCall) (out fleet.StoreDone) {
+	if c.Releases != "" {
+		m.release(c.Releases)
+	}
 	ctx, cancel := context.WithTimeout(m.ctx, storeTimeout)
 	defer cancel()
 	var err error
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -76,8 +76,11 @@
 	Hosts   platform.HostList
 	Peers   Peers
 	// Decode reads and validates a document.
-	Decode   func(data []byte) (*config.Document, error)
-	Logger   *log.Logger
+	Decode func(data []byte) (*config.Document, error)
+	Logger *log.Logger
+	// Release returns once no work is open under a role that is about to be
+	// handed over. Nil means that there never is.
+	Release  func(ctx context.Context, role string) error
 	Counters *telemetry.Counters
 	// Seed seeds the choice of peers and the jitter; 0 takes the wall clock.
 	Seed uint64
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -180,6 +180,7 @@
 		Self:  member.Identity{Name: s.settings.Name, Zone: s.settings.Zone, Address: s.PeerAddress()},
 		Table: access.Tables, Objects: access.Objects, Hosts: access.Hosts,
 		Peers: calls, Decode: config.Decode, Logger: s.log, Counters: s.counters,
+		Release: s.release,
 	})
 	calls.fleet = s.member
 	s.owner = owner.New(owner.Options{
@@ -338,6 +339,14 @@
 	return after
 }
 
+// release ends the work under a role that is handed over.
+func (s *Server) release(ctx context.Context, role string) error {
+	if name, ok := strings.CutPrefix(role, owner.RolePrefix); ok {
+		return s.home.Drain(ctx, name)
+	}
+	return nil
+}
+
 // Ready reports whether the balancer may send callers to this host.
 func (s *Server) Ready() bool {
 	doc := s.member.Document()
