--- a/internal/group/named_test.go
+++ b/internal/group/named_test.go
@@ -160,6 +160,21 @@
 	}
 }
 
+// Guards against a primary that returns during a store outage and stays closed
+// until the store is back, because its owner waits for the outcome of a promotion.
+func TestPrimaryRestartsDuringStoreOutage(t *testing.T) {
+	t.Parallel()
+	for _, d := range []config.Durability{replicated, onPrimary} {
+		eachSeed(t, d, func(s *sim) {
+			s.inject(fault{kind: "store down", at: 5 * time.Second, last: 15 * time.Second})
+			s.inject(fault{kind: "crash database", at: 8 * time.Second, last: 3 * time.Second})
+		}, func(t *testing.T, s *sim) {
+			n, _ := s.lastAck(12*time.Second, 20*time.Second)
+			assert.Assert(t, n > 100, "writes acknowledged after the restart: %d", n)
+		})
+	}
+}
+
 // Guards against a promotion that does not start over when the promoting host
 // crashes after a step, and when the chosen database dies as well.
 func TestCrashAfterEachStep(t *testing.T) {
--- a/internal/group/promotion.go
+++ b/internal/group/promotion.go
@@ -109,6 +109,12 @@
 func (m *Machine) advance() {
 	p := m.promotion
 	switch p.step {
+	case stepClaim:
+		// The store may stay away for long. A primary that is back serves on,
+		// under the confirmation rules, until the new term is known to be written.
+		if m.now-p.since > m.opt.Timing.Retry && m.isOwner() && m.primaryOK > p.since {
+			m.open()
+		}
 	case stepFence:
 		m.advanceFence(p)
 	case stepPromote:
