--- a/internal/group/authority.go
+++ b/internal/group/authority.go
@@ -37,7 +37,7 @@
 
 // Writable returns the term in which the primary may be used for new work.
 func (m *Machine) Writable(server string) (term uint64, ok bool) {
-	ok = m.isOwner() && m.row.Primary == server && m.opened != 0 && m.opened == m.row.Term &&
+	ok = m.isOwner() && server != "" && m.row.Primary == server && m.opened != 0 && m.opened == m.row.Term &&
 		!m.closing && m.seenTerm <= m.row.Term
 	return m.row.Term, ok
 }
@@ -93,12 +93,15 @@
 
 // PositionSince returns a sample of the primary whose poll was sent after
 // asked, if the owner's authority covers it. It serves sessions that connect
-// without a token.
+// without a token. Only the owner and the home of the primary can expect one.
 func (m *Machine) PositionSince(now, asked time.Duration) (Sample, Decision) {
 	m.now = max(m.now, now)
-	if !m.isOwner() || m.ended(m.row.Term) {
+	if s, ok := m.server(m.row.Primary); !m.isOwner() && !(ok && m.mine(s)) {
 		return Sample{}, Lost
 	}
+	if !m.isOwner() || m.ended(m.row.Term) {
+		return Sample{}, Wait // the primary is about to open here
+	}
 	newest := m.samples.Newest(1)
 	if len(newest) == 1 && newest[0].Term == m.row.Term && newest[0].At > asked {
 		return newest[0], Acknowledge
--- a/internal/group/decide.go
+++ b/internal/group/decide.go
@@ -16,7 +16,7 @@
 		return
 	case m.promotion != nil:
 		m.advance()
-	case m.swap != nil || m.now < m.retryAt:
+	case m.swap != nil || m.conflict || m.now < m.retryAt:
 	case m.revision == 0:
 		m.adopt()
 	case m.isOwner():
@@ -388,7 +388,11 @@
 	settling := m.swap != nil && m.swap.settle != 0
 	due := m.wantRow || settling || !m.rowKnown || (!m.isOwner() && m.now-m.readAt >= t.Refresh) ||
 		(m.now-m.readAt >= t.Suspect && (m.revision == 0 || m.watching()))
-	if m.reading || !due || (m.readID > 0 && m.readAt != 0 && m.now-m.readAt < t.Retry) {
+	pace := t.Retry
+	if s, ok := m.server(m.row.Primary); ok && m.mine(s) && !m.isOwner() {
+		due, pace = true, t.Handover
+	}
+	if m.reading || !due || (m.readAt != 0 && m.now-m.readAt < pace) {
 		return
 	}
 	m.readID++
--- a/internal/group/machine.go
+++ b/internal/group/machine.go
@@ -92,7 +92,8 @@
 
 	swap    *swap
 	swapSeq uint64
-	swapAt  time.Duration
+	// conflict is set from a conflict until the row has been read again.
+	conflict bool
 
 	polls      map[string]*poll
 	peers      map[string]*peer
@@ -302,6 +303,7 @@
 		m.wantRow = true
 		return
 	}
+	m.conflict = false
 	s := m.swap
 	if s != nil && s.settle != 0 && v.ID >= s.settle {
 		m.swap = nil
@@ -329,7 +331,6 @@
 		m.claimed = m.claimed && m.unsafe.keepClaim
 	}
 	m.swap = &swap{kind: kind, expect: m.revision, row: r, epoch: m.leaseEpoch, live: m.now < m.leaseUntil}
-	m.swapAt = m.now
 	m.do(Swap{Expect: m.revision, Row: r})
 }
 
@@ -344,7 +345,11 @@
 		m.swapped(s, v.Revision)
 	case Conflict:
 		m.swap, m.claimed, m.wantRow = nil, false, true
+		m.readAt, m.conflict = 0, true
 		m.swapFailed(s)
+		if s.kind == swapClaim || s.kind == swapGive {
+			m.retryAt = m.now // the row has changed, so the next step differs
+		}
 	default:
 		// Only a read that is sent after the write can tell its outcome.
 		s.settle = m.readID + 1
--- a/internal/group/promotion.go
+++ b/internal/group/promotion.go
@@ -112,7 +112,7 @@
 	case stepClaim:
 		// The store may stay away for long. A primary that is back serves on,
 		// under the confirmation rules, until the new term is known to be written.
-		if m.now-p.since > m.opt.Timing.Retry && m.isOwner() && m.primaryOK > p.since {
+		if m.now-p.since > m.opt.Timing.Retry && m.isOwner() && m.primaryReached() && m.polls[m.row.Primary].statusSent > p.since {
 			m.open()
 		}
 	case stepFence:
--- a/internal/group/types.go
+++ b/internal/group/types.go
@@ -46,6 +46,9 @@
 	PlannedWait time.Duration
 	// Refresh is the interval at which a host that does not own the group reads its row.
 	Refresh time.Duration
+	// Handover is the interval at which a new home of the primary reads the row
+	// until it owns the group.
+	Handover time.Duration
 	// Probe is the time for which a host polls the primary after it was asked about it.
 	Probe time.Duration
 }
@@ -61,6 +64,7 @@
 		StepTimeout: time.Second,
 		PlannedWait: 2 * time.Second,
 		Refresh:     10 * time.Second,
+		Handover:    50 * time.Millisecond,
 		Probe:       3 * time.Second,
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -347,13 +347,11 @@
 		return nil, errors.Wrapf(ErrUnknownGroup, "%q", name)
 	}
 	r.step(group.Asked{})
-	if r.owns() {
-		ctx, cancel := context.WithTimeout(ctx, positionWait)
-		defer cancel()
-		w := &waiter{kind: waitPosition}
-		if r.wait(ctx, w) == group.Acknowledge {
-			return r.response(&w.sample), nil
-		}
+	ctx, cancel := context.WithTimeout(ctx, positionWait)
+	defer cancel()
+	w := &waiter{kind: waitPosition}
+	if r.wait(ctx, w) == group.Acknowledge {
+		return r.response(&w.sample), nil
 	}
 	return r.response(nil), nil
 }
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -133,12 +133,6 @@
 	return !r.home && !r.machine.Owns() && len(r.waiters) == 0 && r.o.now()-r.usedAt > idleAfter
 }
 
-func (r *runner) owns() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.machine.Owns()
-}
-
 func (r *runner) setServers(g config.Group, servers []group.Server, home bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -211,7 +205,9 @@
 		return
 	}
 	r.wantedAt = now
-	quorum := slices.ContainsFunc(r.waiters, func(w *waiter) bool { return w.kind != waitWrite })
+	quorum := slices.ContainsFunc(r.waiters, func(w *waiter) bool {
+		return w.kind == waitRead || (w.kind == waitPosition && r.machine.Owns())
+	})
 	r.stepLocked(group.Wanted{Quorum: quorum && r.machine.NeedsQuorum(r.lease())})
 }
 
