--- a/internal/group/named_test.go
+++ b/internal/group/named_test.go
@@ -221,6 +221,28 @@
 	assert.Assert(t, contested > 0, "no run had a contested promotion")
 }
 
+// Guards against a planned stop after which the new home of the primary learns
+// late that it owns the group.
+func TestHomeRoleHandedOver(t *testing.T) {
+	t.Parallel()
+	worst := time.Duration(0)
+	eachSeed(t, replicated, func(s *sim) {
+		s.after(5*time.Second, func() { s.homes[0] = 3 })
+	}, func(t *testing.T, s *sim) {
+		last := 4 * time.Second
+		for _, a := range s.oracle.acked {
+			if a.at > last {
+				worst, last = max(worst, a.at-last), a.at
+			}
+		}
+		assert.Equal(t, s.steps[CountClaimed], 0)
+		assert.Assert(t, s.steps[CountHandedOver] > 0)
+	})
+	// Hosts learn of the role up to 300 ms apart.
+	assert.Assert(t, worst < 450*time.Millisecond, "longest pause %v", worst)
+	t.Logf("longest pause %v", worst)
+}
+
 // Guards against a planned promotion that fails a write or leaves the primary
 // in a zone that is taken out.
 func TestZoneTakenOut(t *testing.T) {
