--- a/internal/entry/client.go
+++ b/internal/entry/client.go
@@ -26,8 +26,10 @@
 	encrypted  bool
 	registered bool
 	minor      uint32
-	processID  uint32
-	secret     uint32
+	// header is the buffer that an idle session reads into.
+	header    [headerBytes]byte
+	processID uint32
+	secret    uint32
 	// routeName never changes; route is refreshed by the client's goroutine.
 	routeName string
 	route     config.Route
@@ -145,7 +147,7 @@
 
 // readMessage returns the next message of the client. The body comes from a pool.
 func (c *client) readMessage() (typ byte, body []byte, err error) {
-	var header [headerBytes]byte
+	header := c.header[:]
 	if err := c.awaitMessage(header[:1]); err != nil {
 		return 0, nil, err
 	}
@@ -480,8 +482,12 @@
 		return t, nil
 	}
 	t, err := c.entry.positions.get(ctx, c.route.Group)
-	if err != nil {
-		return session.Token{}, err
+	for err != nil {
+		// The primary can change before the caller's deadline.
+		if !sleep(ctx, positionPause) {
+			return session.Token{}, err
+		}
+		t, err = c.entry.positions.get(ctx, c.route.Group)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,14 +32,15 @@
 func New(o Options) *Entry {
 	o.setDefaults()
 	base, stop := context.WithCancel(context.Background())
-	return &Entry{
+	e := &Entry{
 		opts:       o,
 		sessions:   newRegistry(hostBits(o.Host)),
 		handshakes: make(chan struct{}, maxHandshakes),
-		positions:  newPositionCache(o.Positions),
 		base:       base,
 		stop:       stop,
 	}
+	e.positions = newPositionCache(base, o.Positions, e.wg.Go)
+	return e
 }
 
 // Run accepts clients until ctx ends, then closes every session.
@@ -127,10 +128,19 @@
 	return verdict.New(verdict.NotRun, verdict.Draining, "the host is shutting down")
 }
 
-// refused counts and logs a refusal.
-func (e *Entry) refused(err *verdict.Error) { e.opts.Counters.Refused(err.Reason) }
+// refused counts and logs a refusal. Refusals that leave an outcome open are
+// logged as warnings; the others follow the load and would flood the log.
+func (e *Entry) refused(err *verdict.Error) {
+	e.opts.Counters.Refused(err.Reason)
+	line := e.opts.Logger.Debug()
+	if err.Verdict == verdict.MayHaveRun {
+		line = e.opts.Logger.Warn()
+	}
+	line.Str("reason", string(err.Reason)).Str("verdict", err.Verdict.String()).Msg(err.Message)
+}
 
-// watchKeys ends sessions whose key is no longer accepted.
+// watchKeys ends sessions whose key is no longer accepted, and, between their
+// transactions, all sessions of a host whose availability zone is out.
 func (e *Entry) watchKeys(ctx context.Context) {
 	ticker := time.NewTicker(keySweepInterval)
 	defer ticker.Stop()
@@ -142,9 +152,16 @@
 		case <-e.opts.KeysChanged:
 		}
 		e.sweepKeys()
+		if doc := e.opts.Document(); doc != nil && e.zoneOut(doc) {
+			e.sessions.each(func(c *client) { c.kick(zoneIsOut(), false) })
+		}
 	}
 }
 
+func zoneIsOut() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ZoneOut, "the availability zone of this host is out of service")
+}
+
 func (e *Entry) sweepKeys() {
 	type proof struct{ route, customer, key string }
 	checked := make(map[proof]error)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -129,7 +129,11 @@
 
 // forward sends frontend bytes. A failed stream is reported by receive.
 func (x *exchange) forward(chunk []byte) {
-	x.send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Frontend{Frontend: chunk}})
+	for len(chunk) > 0 {
+		n := min(len(chunk), maxChunkBytes)
+		x.send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Frontend{Frontend: chunk[:n:n]}})
+		chunk = chunk[n:]
+	}
 }
 
 // cancelRequest asks the home host to cancel the running statement. It does not
--- a/internal/entry/lifecycle_test.go
+++ b/internal/entry/lifecycle_test.go
@@ -50,6 +50,9 @@
 			running := f.sleepStatement(busy)
 			change(f)
 			assert.Equal(t, errorCode(t, idle), "57P01")
+			eventually(t, "end of all three sessions", func() bool {
+				return f.counters.RefusedFor(verdict.WithdrawnKey)+f.counters.RefusedFor(verdict.StaleConfiguration) == 3
+			})
 			_, err = tx.Exec(context.Background(), "insert")
 			assert.Equal(t, code(err), "57P01")
 			assert.Equal(t, code(<-running), "57014", "the backend server reported the cancellation")
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -100,6 +100,11 @@
 	streamEndWait = 5 * time.Second
 	// positionTimeout bounds one call for the position of a primary.
 	positionTimeout = 2 * time.Second
+	// positionPause is the pause after a call that failed.
+	positionPause = 50 * time.Millisecond
+	// maxChunkBytes bounds the frontend bytes of one message between hosts. gRPC
+	// accepts 4 MiB by default.
+	maxChunkBytes = 1 << 20
 	// maxHandshakes bounds the logins in progress at one time. It leaves room for
 	// the clients of a host that restarts, about 5,100 at full size, next to some
 	// that are silent.
--- a/internal/entry/positions.go
+++ b/internal/entry/positions.go
@@ -12,6 +12,8 @@
 // sessions that were waiting before it was made.
 type positionCache struct {
 	source Positions
+	ctx    context.Context
+	spawn  func(func())
 	mu     sync.Mutex
 	groups map[string]*positionQueue
 }
@@ -26,8 +28,10 @@
 	err   error
 }
 
-func newPositionCache(source Positions) *positionCache {
-	return &positionCache{source: source, groups: make(map[string]*positionQueue)}
+// newPositionCache returns a cache whose calls end with ctx and run in goroutines
+// that spawn starts.
+func newPositionCache(ctx context.Context, source Positions, spawn func(func())) *positionCache {
+	return &positionCache{source: source, ctx: ctx, spawn: spawn, groups: make(map[string]*positionQueue)}
 }
 
 // get returns a position of the group that covers every commit acknowledged
@@ -46,7 +50,7 @@
 	q.waiting = append(q.waiting, answer)
 	if !q.calling {
 		q.calling = true
-		go p.serve(group, q)
+		p.spawn(func() { p.serve(group, q) })
 	}
 	p.mu.Unlock()
 	select {
@@ -78,7 +82,7 @@
 }
 
 func (p *positionCache) call(group string) positionResult {
-	ctx, done := context.WithTimeout(context.Background(), positionTimeout)
+	ctx, done := context.WithTimeout(p.ctx, positionTimeout)
 	defer done()
 	t, err := p.source.Position(ctx, group)
 	if err != nil || t == nil {
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -40,8 +40,9 @@
 }
 
 // rawSession logs in over TLS and returns the connection after ReadyForQuery.
-func (f *fixture) rawSession(route string) *tls.Conn {
-	raw := f.raw()
+func (f *fixture) rawSession(route string) *tls.Conn { return f.login(f.raw(), route) }
+
+func (f *fixture) login(raw net.Conn, route string) *tls.Conn {
 	request, _ := (&pgproto3.SSLRequest{}).Encode(nil)
 	_, err := raw.Write(request)
 	assert.NilError(f.t, err)
@@ -52,13 +53,19 @@
 	c := tls.Client(raw, &tls.Config{InsecureSkipVerify: true}) // #nosec: the certificate is generated for the test
 	startup, _ := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"database": route}}).Encode(nil)
 	password, _ := (&pgproto3.PasswordMessage{Password: testKey}).Encode(nil)
-	_, err = c.Write(append(startup, password...))
+	f.untilReady(c, append(startup, password...))
+	return c
+}
+
+// untilReady sends a message and reads its answer.
+func (f *fixture) untilReady(c net.Conn, message []byte) {
+	_, err := c.Write(message)
 	assert.NilError(f.t, err)
-	for be := pgproto3.NewFrontend(c, c); ; {
-		m, err := be.Receive()
+	for fe := pgproto3.NewFrontend(c, c); ; {
+		m, err := fe.Receive()
 		assert.NilError(f.t, err)
 		if _, ok := m.(*pgproto3.ReadyForQuery); ok {
-			return c
+			return
 		}
 	}
 }
@@ -81,11 +88,9 @@
 func TestRefusedLogins(t *testing.T) {
 	f := newFixture(t, nil)
 	bystander := f.connect("w")
-	out := testDocument()
 	for _, x := range []struct {
 		route, password, extra, code string
 		reason                       verdict.Reason
-		prepare                      func()
 	}{
 		{route: "nowhere", password: testKey, code: "3D000", reason: verdict.UnknownRoute},
 		{route: "w", password: "acme.k1.wrong", code: "28P01", reason: verdict.BadKey},
@@ -97,14 +102,7 @@
 		{route: "w", password: testKey, extra: "&client_encoding=latin1", code: "0A000", reason: verdict.Unsupported},
 		{route: "w", password: testKey, extra: "&cranberryhinge.token=other:1:1", code: "08P01", reason: verdict.ProtocolViolation},
 		{route: "w", password: strings.Repeat("x", 2000), code: "08P01", reason: verdict.ProtocolViolation},
-		{route: "w", password: testKey, code: "57P03", reason: verdict.ZoneOut, prepare: func() {
-			out.Rules.ZonesOut = []string{"zone-a"}
-			f.doc.Store(out)
-		}},
 	} {
-		if x.prepare != nil {
-			x.prepare()
-		}
 		before := f.counters.RefusedFor(x.reason)
 		_, err := pgx.ConnectConfig(context.Background(), f.config(x.route, x.password, x.extra))
 		assert.Equal(t, code(err), x.code, x.password)
@@ -114,6 +112,26 @@
 	assert.Assert(t, !strings.Contains(f.counters.String(), "secret"))
 }
 
+// Guards against new work at a host whose availability zone is out, and against a
+// transaction that is cut there.
+func TestZoneOut(t *testing.T) {
+	f := newFixture(t, nil)
+	idle, open := f.rawSession("w"), f.connect("w")
+	tx, err := open.Begin(context.Background())
+	assert.NilError(t, err)
+	out := testDocument()
+	out.Rules.ZonesOut = []string{"zone-a"}
+	f.doc.Store(out)
+	f.changed <- struct{}{}
+	assert.Equal(t, errorCode(t, idle), "57P01")
+	_, err = pgx.ConnectConfig(context.Background(), f.config("w", testKey, ""))
+	assert.Equal(t, code(err), "57P03")
+	selectText(t, tx, "undisturbed")
+	assert.NilError(t, tx.Commit(context.Background()))
+	_, err = open.Exec(context.Background(), "insert")
+	assert.Equal(t, code(err), "57P01")
+}
+
 // Guards against a startup packet that stops the listener or gets no clear
 // answer, and against a key that is asked for or sent without encryption.
 func TestUnreadableStartup(t *testing.T) {
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -21,6 +21,9 @@
 )
 
 const (
+	// protocolOption is the prefix of startup parameters that negotiate protocol
+	// extensions.
+	protocolOption = "_pq_."
 	// maxStartupBytes is PostgreSQL's limit for a startup packet.
 	maxStartupBytes = 10_000
 	// maxPasswordBytes bounds the password message of a client that has not
@@ -163,6 +166,9 @@
 	if e.draining.Load() {
 		return draining()
 	}
+	if e.opts.Document() == nil {
+		return verdict.New(verdict.NotRun, verdict.StaleConfiguration, "the host has no configuration yet")
+	}
 	route, doc, ok := e.route(m.Parameters["database"])
 	if !c.encrypted && (!e.opts.Plaintext || !ok || !route.Public) {
 		return verdict.New(verdict.NotRun, verdict.TLSRequired, "the connection has to be encrypted")
@@ -171,7 +177,7 @@
 		return verdict.New(verdict.NotRun, verdict.UnknownRoute, "route %q does not exist", m.Parameters["database"])
 	}
 	if e.zoneOut(doc) {
-		return verdict.New(verdict.NotRun, verdict.ZoneOut, "the availability zone of this host is out of service")
+		return zoneIsOut()
 	}
 	password, err := c.askPassword(route)
 	if err != nil {
@@ -256,7 +262,7 @@
 
 func (c *client) applyParameters(parameters map[string]string) error {
 	for name := range parameters {
-		if !acceptedParameters[canonicalParameter(name)] && !strings.HasPrefix(name, "_pq_.") {
+		if !acceptedParameters[canonicalParameter(name)] && !strings.HasPrefix(name, protocolOption) {
 			return verdict.New(verdict.NotRun, verdict.Unsupported, "startup parameter %q is not supported", name)
 		}
 	}
@@ -302,8 +308,14 @@
 func (c *client) greet(parameters map[string]string) error {
 	var out []byte
 	add := func(m pgproto3.BackendMessage) { out, _ = m.Encode(out) }
-	if c.minor > 0 {
-		add(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: 0})
+	var unknown []string
+	for name := range parameters {
+		if strings.HasPrefix(name, protocolOption) {
+			unknown = append(unknown, name)
+		}
+	}
+	if c.minor > 0 || len(unknown) > 0 {
+		add(&pgproto3.NegotiateProtocolVersion{UnrecognizedOptions: unknown})
 	}
 	add(&pgproto3.AuthenticationOk{})
 	for _, p := range [][2]string{
