--- a/internal/entry/client.go
+++ b/internal/entry/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -289,8 +290,15 @@
 	return errEnded
 }
 
+// messageTypes are the messages that a client may send after its login. After
+// any other, the boundaries of the following messages cannot be trusted.
+const messageTypes = "QPBDCEHSXFdcf"
+
 // handle processes one message, and at the end of a batch waits for its answer.
 func (c *client) handle(typ byte, body []byte) error {
+	if strings.IndexByte(messageTypes, typ) < 0 {
+		return verdict.New(c.openVerdict(), verdict.ProtocolViolation, "invalid message type %q", typ)
+	}
 	c.mu.Lock()
 	if c.lost != nil {
 		c.mu.Unlock()
@@ -346,7 +354,7 @@
 		x.admitted = true
 	}
 	if begins {
-		x.beginBatch(c.route.Deadline.Std())
+		x.beginBatch(deadline(c.route))
 	}
 	c.mu.Lock()
 	if c.exchange != x {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/session"
@@ -32,6 +34,11 @@
 	overdue *verdict.Error
 }
 
+// deadline returns the bound for one statement on the route.
+func deadline(r config.Route) time.Duration {
+	return cmp.Or(r.Deadline, config.DefaultDeadline).Std()
+}
+
 // open admits the request and opens a stream for it. An error means that no byte
 // of the request was sent.
 func (c *client) open() (*exchange, *verdict.Error) {
@@ -46,9 +53,9 @@
 	c.route = route
 	ctx, cancel := context.WithCancel(e.base)
 	x := &exchange{client: c, ctx: ctx, cancel: cancel, inBatch: true}
-	openCtx, done := context.WithTimeout(ctx, route.Deadline.Std())
+	openCtx, done := context.WithTimeout(ctx, deadline(route))
 	defer done()
-	guard := time.AfterFunc(route.Deadline.Std()+overdueGrace, func() {
+	guard := time.AfterFunc(deadline(route)+overdueGrace, func() {
 		c.abortOpening(x, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "no home host accepted the request before its deadline"))
 	})
 	defer guard.Stop()
@@ -100,8 +107,10 @@
 		}
 		start.Floor = floor.Proto()
 	}
-	deadline, _ := ctx.Deadline()
-	start.TimeoutUs = time.Until(deadline).Microseconds()
+	end, _ := ctx.Deadline()
+	if start.TimeoutUs = time.Until(end).Microseconds(); start.TimeoutUs <= 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the request waited until its deadline")
+	}
 	// The stream lives longer than the call that opens it.
 	return c.entry.opts.Opener.Open(x.ctx, start)
 }
--- a/internal/entry/lifecycle_test.go
+++ b/internal/entry/lifecycle_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +12,8 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -230,3 +234,71 @@
 	selectText(t, c, "x")
 	assert.Equal(t, f.home.last().Floor.GetPosition(), uint64(4))
 }
+
+// Guards against answers that reach another session, and against a session that
+// hangs, while statements fail, are cancelled and lose their streams.
+func TestSessionsUnderFailures(t *testing.T) {
+	f := newFixture(t, nil)
+	ctx, done := context.WithTimeout(context.Background(), 30*time.Second)
+	defer done()
+	var workers errgroup.Group
+	for id := range 16 {
+		workers.Go(func() error {
+			r := rand.New(rand.NewPCG(1, uint64(id)))
+			var c *pgx.Conn
+			for i := range 60 {
+				if c == nil || c.IsClosed() {
+					var err error
+					if c, err = pgx.ConnectConfig(ctx, f.config("w", testKey, "")); err != nil {
+						return err
+					}
+				}
+				if err := f.randomWork(ctx, r, c, fmt.Sprintf("%d-%d", id, i)); err != nil {
+					return err
+				}
+			}
+			return c.Close(ctx)
+		})
+	}
+	assert.NilError(t, workers.Wait())
+	eventually(t, "end of all sessions", func() bool { return f.entry.Sessions() == 0 })
+}
+
+// randomWork runs one request and checks its answer. Statements that are meant to
+// fail must fail.
+func (f *fixture) randomWork(ctx context.Context, r *rand.Rand, c *pgx.Conn, arg string) error {
+	var got string
+	switch r.IntN(5) {
+	case 0:
+		b := &pgx.Batch{}
+		for range r.IntN(20) {
+			b.Queue("select $1", arg).QueryRow(func(row pgx.Row) error { return row.Scan(&got) })
+		}
+		if err := c.SendBatch(ctx, b).Close(); err != nil || b.Len() > 0 && got != arg {
+			return errors.Errorf("batch: %q, %v", got, err)
+		}
+	case 1:
+		if _, err := c.Exec(ctx, "begin"); err != nil {
+			return err
+		}
+		fails := []string{"error", "mayhaverun", "notrun", "listen x"}
+		if _, err := c.Exec(ctx, fails[r.IntN(len(fails))]); err == nil {
+			return errors.New("a statement that fails did not")
+		}
+		if !c.IsClosed() {
+			_, err := c.Exec(ctx, "rollback")
+			return err
+		}
+	case 2:
+		timer := time.AfterFunc(5*time.Millisecond, func() { _ = c.PgConn().CancelRequest(ctx) })
+		defer timer.Stop()
+		if _, err := c.Exec(ctx, "sleep"); code(err) != "57014" {
+			return errors.Errorf("cancelled statement: %v", err)
+		}
+	default:
+		if err := c.QueryRow(ctx, "select $1", arg).Scan(&got); err != nil || got != arg {
+			return errors.Errorf("select: %q, %v", got, err)
+		}
+	}
+	return nil
+}
--- a/internal/routing/stream.go
+++ b/internal/routing/stream.go
@@ -315,7 +315,7 @@
 	if err == nil {
 		start := proto.Clone(s.start).(*peerpb.Start)
 		start.Server = c.Server
-		start.TimeoutUs = (s.deadline - began).Microseconds()
+		start.TimeoutUs = max(1, (s.deadline - began).Microseconds())
 		err = conn.Send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Start{Start: start}})
 	}
 	if err != nil {
--- a/internal/session/machine.go
+++ b/internal/session/machine.go
@@ -245,7 +245,7 @@
 	case 'F':
 		return Step{}, verdict.New(verdict.NotRun, verdict.Unsupported, "function call messages are not supported")
 	default:
-		return Step{}, verdict.New(verdict.NotRun, verdict.ProtocolViolation, "unexpected message type %q", typ)
+		return Step{}, verdict.New(verdict.NotRun, verdict.ProtocolViolation, "invalid message type %q", typ)
 	}
 }
 
