--- a/internal/session/machine.go
+++ b/internal/session/machine.go
@@ -245,7 +245,7 @@
 	case 'F':
 		return Step{}, verdict.New(verdict.NotRun, verdict.Unsupported, "function call messages are not supported")
 	default:
-		return Step{}, verdict.New(verdict.NotRun, verdict.ProtocolViolation, "unexpected message type %q", typ)
+		return Step{}, verdict.New(verdict.NotRun, verdict.ProtocolViolation, "invalid message type %q", typ)
 	}
 }
 
@@ -289,6 +289,9 @@
 	if local := m.localFor(kind, q.String); local != nil && !m.InBatch() {
 		return Step{Reply: append(local.run(m), readyForQuery(m.status)...)}, nil
 	}
+	if m.local {
+		return Step{}, mixedBatch()
+	}
 	m.noteFirst(kind)
 	m.runs, m.simple, m.unnamed = true, true, nil
 	delete(m.statements, "")
