Add measurement points for benchmarks

The limiter reports each admission, the stand-in database the arrival of its newest data statement, and the loopback network the bytes that hosts send and receive.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -43,6 +43,10 @@
 	LogLevel  string
 	// Latency describes the network between zones and to the callers.
 	Latency Latency
+	// Admitted, when set, is called for each request that a host's limiter admits.
+	Admitted func(host, customer string)
+	// CountBytes counts the bytes of connections that hosts open.
+	CountBytes bool
 	// Drain bounds a planned stop of a host.
 	Drain time.Duration
 }
@@ -82,6 +86,7 @@
 		Platform: platform.NewFake(settings.Platform), Databases: map[string]*standin.Database{}, Hosts: map[string]*Host{},
 		Network: newNetwork(settings.Latency), settings: settings, cert: cert, pool: peer.NewPool(nil, nil),
 	}
+	c.Network.counting = settings.CountBytes
 	if err := c.start(ctx); err != nil {
 		c.Stop()
 		return nil, err
@@ -174,6 +179,10 @@
 	if writer == nil {
 		writer = io.Discard
 	}
+	var admitted func(string)
+	if f := c.settings.Admitted; f != nil {
+		admitted = func(customer string) { f(name, customer) }
+	}
 	s, err := server.New(server.Settings{
 		Name: name, Zone: zone, Platform: "in-process",
 		Client:       server.ClientSettings{Listen: "127.0.0.1:0", Certificate: "in-process", Key: "in-process"},
@@ -182,7 +191,7 @@
 		LogLevel:     c.settings.LogLevel,
 		DrainTimeout: config.Duration(c.settings.Drain),
 	}, server.Options{
-		Platform: &access, TLS: tlsConfig, LogWriter: writer, Dial: c.Network.dialer(zone),
+		Platform: &access, TLS: tlsConfig, LogWriter: writer, Dial: c.Network.dialer(zone), Admitted: admitted,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "host %s", name)
@@ -217,6 +226,32 @@
 	return <-h.done
 }
 
+// StopHosts stops every host gracefully at the same time.
+func (c *Cluster) StopHosts() error {
+	for _, h := range c.Hosts {
+		h.stop()
+	}
+	var first error
+	for name, h := range c.Hosts {
+		if err := <-h.done; err != nil && first == nil {
+			first = errors.Wrapf(err, "host %s", name)
+		}
+	}
+	clear(c.Hosts)
+	return first
+}
+
+// ConnectDatabase connects to a stand-in database without passing the proxy.
+func (c *Cluster) ConnectDatabase(ctx context.Context, name string) (*pgx.Conn, error) {
+	db, ok := c.Databases[name]
+	if !ok {
+		return nil, errors.Errorf("no database %q", name)
+	}
+	dsn := fmt.Sprintf("postgres://%s:%s@%s/app?sslmode=disable", backendUser, backendPassword, db.Address())
+	conn, err := pgx.Connect(ctx, dsn)
+	return conn, errors.Wrapf(err, "connect to database %s", name)
+}
+
 // Stop stops everything.
 func (c *Cluster) Stop() {
 	for _, h := range c.Hosts {
--- a/internal/cluster/network.go
+++ b/internal/cluster/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,9 @@
 // hosts, through relays that delay and cut.
 type Network struct {
 	latency Latency
+	// counting makes the dialers count bytes.
+	counting bool
+	bytes    atomic.Int64
 
 	mu     sync.Mutex
 	zones  map[string]string // by address
@@ -62,10 +66,36 @@
 		if err != nil {
 			return nil, err
 		}
-		return (&net.Dialer{}).DialContext(ctx, "tcp", via)
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", via)
+		if err != nil || !n.counting {
+			return conn, err
+		}
+		return countedConn{conn, &n.bytes}, nil
 	}
 }
 
+// Bytes returns the number of bytes that passed in both directions through the
+// connections that hosts opened to hosts and databases.
+func (n *Network) Bytes() int64 { return n.bytes.Load() }
+
+// countedConn counts what passes through a connection.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
 // link returns the address under which a process in the zone reaches the
 // target. Connections within a zone do not pass a relay.
 func (n *Network) link(from, target string) (string, error) {
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -35,6 +35,8 @@
 	Minters  *Minters
 	Clock    func() time.Duration
 	Counters *telemetry.Counters
+	// Admitted, when set, is called at the moment a request is admitted. It must not block.
+	Admitted func(customer string)
 }
 
 // Limiter admits requests at an entry host.
@@ -148,6 +150,9 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case customer.Admit:
+			if f := a.limiter.opts.Admitted; f != nil {
+				f(a.name)
+			}
 			a.finish(action.ID, nil)
 		case customer.Refuse:
 			a.finish(action.ID, verdict.New(verdict.NotRun, verdict.RateLimited, "customer %s is over its rate", a.name))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -42,6 +42,8 @@
 	LogWriter io.Writer
 	// Dial replaces the TCP dialer towards hosts and backend servers.
 	Dial peer.Dial
+	// Admitted is called for each request of a customer that the limiter admits.
+	Admitted func(customer string)
 }
 
 // Server is one host.
@@ -105,7 +107,7 @@
 			return err
 		}
 	}
-	s.connectShells(access, peerCreds, clientTLS, opts.Dial)
+	s.connectShells(access, peerCreds, clientTLS, opts)
 	s.grpc = grpc.NewServer(peer.ServerOptions(peerCreds)...)
 	peerpb.RegisterPeerServer(s.grpc, peerAPI{s: s})
 	return nil
@@ -167,7 +169,8 @@
 // Counters returns this host's counters.
 func (s *Server) Counters() *telemetry.Counters { return s.counters }
 
-func (s *Server) connectShells(access platform.Access, creds credentials.TransportCredentials, clientTLS *tls.Config, dial peer.Dial) {
+func (s *Server) connectShells(access platform.Access, creds credentials.TransportCredentials, clientTLS *tls.Config, opts Options) {
+	dial := opts.Dial
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
 	s.pool = peer.NewPool(creds, dial)
@@ -196,7 +199,7 @@
 	calls.suspect = dir.Suspect
 	s.directory = dir
 	s.minters = limit.NewMinters(limitFleet{s.member}, clock)
-	s.limiter = limit.New(limit.Options{Fleet: limitFleet{s.member}, Peers: calls, Minters: s.minters, Clock: clock, Counters: s.counters})
+	s.limiter = limit.New(limit.Options{Fleet: limitFleet{s.member}, Peers: calls, Minters: s.minters, Clock: clock, Counters: s.counters, Admitted: opts.Admitted})
 	s.entry = entry.New(entry.Options{
 		Listener: s.listeners.client, TLS: clientTLS, Plaintext: s.settings.Client.Plaintext,
 		Host: s.settings.Name, Zone: s.settings.Zone, Document: s.member.Document, KeysChanged: s.member.Subscribe(),
--- a/internal/standin/controls.go
+++ b/internal/standin/controls.go
@@ -116,6 +116,8 @@
 	// for a slot at once, MaxRunning of those that ran.
 	MaxOffered int
 	MaxRunning int
+	// LastData is the time at which the newest data statement arrived.
+	LastData time.Time
 	// Refused counts connections above the limit, Evicted those that evict closed.
 	Refused int
 	Evicted int
--- a/internal/standin/exec.go
+++ b/internal/standin/exec.go
@@ -99,6 +99,7 @@
 	}
 	s.cancel = cancel
 	s.db.waiting++
+	s.db.record.LastData = time.Now()
 	s.db.record.MaxOffered = max(s.db.record.MaxOffered, s.db.waiting+s.db.running)
 	service := s.db.settings.ServiceTime
 	s.db.mu.Unlock()
