Publish the parts of a failover gap that a hand-on measured

Cause: the counters failover_detection_ms, failover_lease_ms and failover_fencing_ms were set only when a host opened a promotion. A host that fenced and then handed ownership on to the home of the chosen database never set them, and the new owner measured only its own part. Change: they are also set when a promotion is handed on.

--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -386,7 +386,8 @@
 	c := r.o.opt.Counters
 	c.Add(name, 1)
 	r.o.opt.Log.Info().Str("group", r.name).Str("event", name).Msg("group changed")
-	if name != group.CountOpened {
+	// A host that hands a promotion on has measured the parts up to fencing.
+	if name != group.CountOpened && name != group.CountHandedOn {
 		return
 	}
 	gap := r.machine.LastGap()
