--- /dev/null
+++ b/internal/bench/oracle_test.go
@@ -0,0 +1,74 @@
+package bench
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a check that cannot fail: each made-up history breaks one
+// promise, and the oracle must name exactly that one.
+func TestOracleFindsEachFault(t *testing.T) {
+	const s = time.Second
+	write := func(seq int, sent, done time.Duration, o Outcome) Write {
+		return Write{Group: "g", Key: "k", Seq: seq, Session: 1, Sent: sent, Done: done, Outcome: o}
+	}
+	read := func(session, seq int, sent, known, bound time.Duration) Read {
+		return Read{Group: "g", Key: "k", Seq: seq, Session: session, Sent: sent, Done: sent, Known: known, Bound: bound}
+	}
+	one, two := write(1, 0, s, Served), write(2, 2*s, 3*s, Served)
+	tests := []struct {
+		name   string
+		writes []Write
+		reads  []Read
+		value  string
+		log    []string
+		want   Findings
+	}{
+		{"clean", []Write{one, two}, []Read{read(2, 1, 4*s, 0, 2*s)}, "k#2", []string{"k#1", "k#2"}, Findings{Reads: 1, Acked: 2}},
+		{"acknowledged and absent", []Write{one, two}, nil, "k#1", []string{"k#1"}, Findings{Acked: 2, Lost: 1}},
+		{"overwritten by an older value", []Write{one, two}, nil, "k#1", []string{"k#1", "k#2"}, Findings{Acked: 2, Lost: 1}},
+		{"ran twice", []Write{one}, nil, "k#1", []string{"k#1", "k#1"}, Findings{Acked: 1, Doubled: 1}},
+		{"open outcome ran twice", []Write{write(1, 0, s, Unknown)}, nil, "k#1", []string{"k#1", "k#1"}, Findings{Doubled: 1}},
+		{"open outcome may have run", []Write{write(1, 0, s, Unknown)}, nil, "k#1", []string{"k#1"}, Findings{}},
+		{"never sent", nil, nil, "k#9", []string{"k#9"}, Findings{Doubled: 1}},
+		{"refused and there", []Write{write(1, 0, s, Refused)}, nil, "k#1", []string{"k#1"}, Findings{FalseNotRun: 1}},
+		{"own write missed", []Write{one}, []Read{read(1, 0, s, 0, time.Hour)}, "k#1", []string{"k#1"}, Findings{Reads: 1, Acked: 1, Stale: 1}},
+		{"older than the bound", []Write{one, two}, []Read{read(2, 1, 5*s, 0, s)}, "k#2", []string{"k#1", "k#2"}, Findings{Reads: 1, Acked: 2, Stale: 1}},
+		{"older than the session's floor", []Write{one, two}, []Read{read(2, 1, 4*s, 3*s, time.Hour)}, "k#2", []string{"k#1", "k#2"}, Findings{Reads: 1, Acked: 2, Stale: 1}},
+		{"value of another key", []Write{one}, []Read{read(2, -1, 4*s, 0, s)}, "k#1", []string{"k#1"}, Findings{Reads: 1, Acked: 1, Stale: 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var h History
+			for _, w := range test.writes {
+				h.AddWrite(w)
+			}
+			for _, r := range test.reads {
+				h.AddRead(r)
+			}
+			got := h.Check(map[string]Contents{"g": {Values: map[string]string{"k": test.value}, Log: test.log}})
+			assert.Equal(t, len(got.Examples) > 0, got.Lost+got.Doubled+got.Stale+got.FalseNotRun > 0)
+			got.Examples = nil
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
+
+// Guards against a gap that is cut short by writes of other groups or by
+// attempts that were not acknowledged.
+func TestLongestGapCountsAcknowledgedWrites(t *testing.T) {
+	var h History
+	for _, w := range []Write{
+		{Group: "g", Done: 1 * time.Second},
+		{Group: "g", Done: 2 * time.Second, Outcome: Unknown},
+		{Group: "other", Done: 3 * time.Second},
+		{Group: "g", Done: 5 * time.Second},
+	} {
+		h.AddWrite(w)
+	}
+	gap, end := h.longestGap("g", 0, 6*time.Second)
+	assert.Equal(t, gap, 4*time.Second)
+	assert.Equal(t, end, 5*time.Second)
+}
--- /dev/null
+++ b/internal/bench/report.go
@@ -0,0 +1,121 @@
+package bench
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Figure is one measured value.
+type Figure struct {
+	Name  string
+	Value any
+	// Target describes the target, empty when there is none.
+	Target string
+	Missed bool
+}
+
+// Report is the result of a scenario. Its figures keep their order.
+type Report struct {
+	Scenario string
+	Figures  []Figure
+}
+
+func (r *Report) add(name string, value any) {
+	if v, ok := value.(float64); ok {
+		value = rounded(v)
+	}
+	r.Figures = append(r.Figures, Figure{Name: name, Value: value})
+}
+
+// atMost adds a figure with an upper target. NaN misses it.
+func (r *Report) atMost(name string, value, limit float64) {
+	r.target(name, value, fmt.Sprintf("at most %g", limit), !(value <= limit))
+}
+
+// atLeast adds a figure with a lower target. NaN misses it.
+func (r *Report) atLeast(name string, value, limit float64) {
+	r.target(name, value, fmt.Sprintf("at least %g", limit), !(value >= limit))
+}
+
+// none adds a count whose target is 0.
+func (r *Report) none(name string, count int) {
+	r.Figures = append(r.Figures, Figure{Name: name, Value: count, Target: "0", Missed: count != 0})
+}
+
+func (r *Report) target(name string, value float64, target string, missed bool) {
+	r.Figures = append(r.Figures, Figure{Name: name, Value: rounded(value), Target: target, Missed: missed})
+}
+
+// rounded keeps four decimals; what was not measured becomes null in JSON.
+func rounded(v float64) any {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return nil
+	}
+	return math.Round(v*1e4) / 1e4
+}
+
+// Missed returns the names of the figures that miss their target.
+func (r *Report) Missed() []string {
+	missed := []string{}
+	for _, f := range r.Figures {
+		if f.Missed {
+			missed = append(missed, f.Name)
+		}
+	}
+	return missed
+}
+
+// MarshalJSON writes the figures as fields of one object.
+func (r *Report) MarshalJSON() ([]byte, error) {
+	var b bytes.Buffer
+	fields := slices.Concat([]Figure{{Name: "scenario", Value: r.Scenario}}, r.Figures, []Figure{{Name: "missed", Value: r.Missed()}})
+	for i, f := range fields {
+		value, err := json.Marshal(f.Value)
+		if err != nil {
+			return nil, errors.Wrap(err, f.Name)
+		}
+		separator := ","
+		if i == 0 {
+			separator = "{"
+		}
+		fmt.Fprintf(&b, "%s%q:%s", separator, f.Name, value)
+	}
+	b.WriteByte('}')
+	return b.Bytes(), nil
+}
+
+// WriteText prints the report for people.
+func (r *Report) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "scenario %s\n", r.Scenario)
+	for _, f := range r.Figures {
+		value := fmt.Sprint(f.Value)
+		if f.Value == nil {
+			value = "not measured"
+		}
+		line := fmt.Sprintf("  %-38s %s", f.Name, value)
+		if f.Target != "" {
+			line = fmt.Sprintf("%-60s target %s", line, f.Target)
+		}
+		if f.Missed {
+			line += "  MISSED"
+		}
+		fmt.Fprintln(w, strings.TrimRight(line, " "))
+	}
+}
+
+func seconds(d time.Duration) float64 { return d.Seconds() }
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return math.NaN()
+	}
+	return float64(part) / float64(whole)
+}
