--- a/internal/entry/client.go
+++ b/internal/entry/client.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/session"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
@@ -45,7 +47,12 @@
 	// the transaction.
 	closing *verdict.Error
 	hard    bool
-	dead    bool
+	// lost is set when the open transaction was lost.
+	lost *verdict.Error
+	// busy is set while a message of the client is read and handled.
+	busy bool
+	// dead is set when nothing more can be sent to the client.
+	dead bool
 
 	writeMu sync.Mutex
 }
@@ -71,6 +78,7 @@
 			err = c.handle(typ, body)
 			releaseBody(body)
 		}
+		c.setBusy(false)
 		if err != nil {
 			c.farewell(err)
 			return
@@ -78,6 +86,12 @@
 	}
 }
 
+func (c *client) setBusy(on bool) {
+	c.mu.Lock()
+	c.busy = on
+	c.mu.Unlock()
+}
+
 // farewell sends the error that ends the session, when there is one.
 func (c *client) farewell(err error) {
 	refused, ok := asRefusal(err)
@@ -135,25 +149,47 @@
 	if err := c.awaitMessage(header[:1]); err != nil {
 		return 0, nil, err
 	}
+	c.setBusy(true)
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.entry.opts.ClientPatience))
 	if _, err := io.ReadFull(c.conn, header[1:]); err != nil {
 		return 0, nil, c.halfSent(err)
 	}
-	size := int(binary.BigEndian.Uint32(header[1:])) - 4
+	size := int(int32(binary.BigEndian.Uint32(header[1:]))) - 4
 	if size < 0 {
 		return 0, nil, violation("invalid message length")
 	}
 	if size > maxMessageBytes {
 		return 0, nil, verdict.New(c.openVerdict(), verdict.MessageTooBig, "message of %d bytes is over the limit of %d", size, maxMessageBytes)
 	}
-	body = takeBody(size)
-	if _, err := io.ReadFull(c.conn, body); err != nil {
-		releaseBody(body)
+	if body, err = readBody(c.conn, size); err != nil {
 		return 0, nil, c.halfSent(err)
 	}
 	return header[0], body, nil
 }
 
+// readBody reads a message body. A large one takes memory as its bytes arrive,
+// so that a header alone takes none.
+func readBody(r io.Reader, size int) ([]byte, error) {
+	if size <= pooledBodyBytes {
+		body := (*bodies.Get().(*[]byte))[:size]
+		_, err := io.ReadFull(r, body)
+		if err != nil {
+			releaseBody(body)
+		}
+		return body, err
+	}
+	var body []byte
+	for len(body) < size {
+		have := len(body)
+		grown := min(size, max(firstBodyBytes, 2*have))
+		body = slices.Grow(body, grown-have)[:grown]
+		if _, err := io.ReadFull(r, body[have:]); err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 // awaitMessage waits for the first byte of a message. Between transactions it
 // waits without limit, and holds no buffer meanwhile.
 func (c *client) awaitMessage(first []byte) error {
@@ -215,6 +251,8 @@
 	switch {
 	case c.dead:
 		return errEnded
+	case c.lost != nil:
+		return c.lost
 	case c.closing == nil:
 		return nil
 	case c.machine.InBatch() || c.awaiting:
@@ -241,6 +279,9 @@
 
 func (c *client) halfSent(err error) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if closing := c.mustClose(); closing != nil {
+			return closing
+		}
 		return verdict.New(c.openVerdict(), verdict.ProtocolViolation, "the client did not finish its message")
 	}
 	return errEnded
@@ -249,6 +290,10 @@
 // handle processes one message, and at the end of a batch waits for its answer.
 func (c *client) handle(typ byte, body []byte) error {
 	c.mu.Lock()
+	if c.lost != nil {
+		c.mu.Unlock()
+		return c.lost
+	}
 	step, refused := c.machine.Client(typ, body)
 	if refused != nil {
 		reply := c.machine.Refuse(refused, typ == 'Q' || typ == 'S')
@@ -306,8 +351,13 @@
 		c.mu.Unlock()
 		return nil
 	}
+	prepared := c.machine.Prepared()
 	chunk := c.machine.Take()
 	c.mu.Unlock()
+	if len(prepared) > 0 {
+		// A further Start names statements that the following bytes refer to.
+		x.send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Start{Start: &peerpb.Start{Prepared: prepared}}})
+	}
 	x.forward(chunk)
 	return nil
 }
@@ -327,11 +377,14 @@
 func (c *client) awaitReady() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.awaiting && !c.dead && !c.machine.CopyIn() {
+	for c.awaiting && !c.dead && c.lost == nil && !c.machine.CopyIn() {
 		c.changed.Wait()
 	}
-	if c.dead {
+	switch {
+	case c.dead:
 		return errEnded
+	case c.lost != nil:
+		return c.lost
 	}
 	return nil
 }
@@ -345,7 +398,7 @@
 		c.closing, c.hard = reason, hard
 	}
 	running := c.awaiting || c.machine.InBatch()
-	wake := !running && (hard || c.machine.Status() == session.StatusIdle)
+	wake := !running && !c.busy && (hard || c.machine.Status() == session.StatusIdle)
 	x, opening := c.exchange, c.opening
 	c.mu.Unlock()
 	if !first {
@@ -392,6 +445,9 @@
 func (c *client) writeLocked(b []byte) error {
 	_ = c.conn.SetWriteDeadline(time.Now().Add(c.entry.opts.ClientPatience))
 	if _, err := c.conn.Write(b); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.entry.opts.Counters.Add("client_write_timeouts", 1)
+		}
 		return errEnded
 	}
 	return nil
@@ -400,14 +456,12 @@
 // bodies holds message bodies of usual size.
 var bodies = sync.Pool{New: func() any { b := make([]byte, pooledBodyBytes); return &b }}
 
-const pooledBodyBytes = 4 << 10
-
-func takeBody(size int) []byte {
-	if size > pooledBodyBytes {
-		return make([]byte, size)
-	}
-	return (*bodies.Get().(*[]byte))[:size]
-}
+const (
+	pooledBodyBytes = 4 << 10
+	// firstBodyBytes is the memory taken for a larger body before any byte of it
+	// has arrived.
+	firstBodyBytes = 64 << 10
+)
 
 func releaseBody(b []byte) {
 	if cap(b) == pooledBodyBytes {
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -1,16 +1,19 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/binary"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/session"
@@ -27,21 +30,29 @@
 	// connection.
 	maxNegotiations = 3
 	tokenParameter  = "cranberryhinge.token"
+	// loginTime bounds a login, so that silent clients do not hold the places for
+	// logins for long.
+	loginTime = 10 * time.Second
 )
 
 // login takes a new connection up to its first ReadyForQuery. The session then
 // gets a goroutine of its own, because the handshake grows this one's stack.
 func (e *Entry) login(conn net.Conn) {
 	setSocketOptions(conn)
-	_ = conn.SetDeadline(time.Now().Add(e.opts.ClientPatience))
+	_ = conn.SetDeadline(time.Now().Add(min(loginTime, e.opts.ClientPatience)))
 	c := &client{entry: e, conn: conn}
 	c.changed = sync.NewCond(&c.mu)
 	unhook := context.AfterFunc(e.base, func() { _ = conn.Close() })
 	defer unhook()
 	if err := c.start(); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = violation("the login was not finished in time")
+		}
 		if refused, ok := asRefusal(err); ok {
 			e.refused(refused)
-			_, _ = c.conn.Write(session.FatalResponse(refused))
+			if c.write(session.FatalResponse(refused)) == nil {
+				linger(c.conn)
+			}
 		}
 		_ = c.conn.Close()
 		if c.registered {
@@ -93,7 +104,7 @@
 	if _, err := io.ReadFull(c.conn, length[:]); err != nil {
 		return nil, err
 	}
-	size := int(binary.BigEndian.Uint32(length[:])) - len(length)
+	size := int(int32(binary.BigEndian.Uint32(length[:]))) - len(length)
 	if size < 4 || size > maxStartupBytes {
 		return nil, violation("invalid length of startup packet")
 	}
@@ -204,7 +215,7 @@
 	if _, err := io.ReadFull(c.conn, header[:]); err != nil {
 		return "", err
 	}
-	size := int(binary.BigEndian.Uint32(header[1:])) - 4
+	size := int(int32(binary.BigEndian.Uint32(header[1:]))) - 4
 	if header[0] != 'p' || size < 1 || size > maxPasswordBytes {
 		return "", violation("expected a password message")
 	}
@@ -222,6 +233,27 @@
 	"DateStyle": true, "TimeZone": true,
 }
 
+// needsSet reports whether a startup parameter changes answers and differs from
+// what backend connections use. The application name of backend connections is
+// the proxy's own, and every positive extra_float_digits has the same effect.
+func needsSet(name, value string) bool {
+	switch name {
+	case "TimeZone":
+		return !strings.EqualFold(value, defaultTimeZone)
+	case "DateStyle":
+		return !strings.EqualFold(value, defaultDateStyle) && !strings.EqualFold(value, "ISO")
+	case "extra_float_digits":
+		return value != "1" && value != "2" && value != "3"
+	}
+	return false
+}
+
+// Values of session parameters on backend connections.
+const (
+	defaultTimeZone  = "UTC"
+	defaultDateStyle = "ISO, MDY"
+)
+
 func (c *client) applyParameters(parameters map[string]string) error {
 	for name := range parameters {
 		if !acceptedParameters[canonicalParameter(name)] && !strings.HasPrefix(name, "_pq_.") {
@@ -231,6 +263,11 @@
 	if encoding := parameters["client_encoding"]; encoding != "" && !isUTF8(encoding) {
 		return verdict.New(verdict.NotRun, verdict.Unsupported, "client_encoding %q is not supported, use UTF8", encoding)
 	}
+	for name, value := range parameters {
+		if known := canonicalParameter(name); needsSet(known, value) {
+			c.machine.Set(known, value)
+		}
+	}
 	if text := parameters[tokenParameter]; text != "" {
 		t, err := session.ParseToken(text)
 		if err != nil {
@@ -273,8 +310,8 @@
 		{"server_version", "16.0"},
 		{"server_encoding", "UTF8"},
 		{"client_encoding", "UTF8"},
-		{"DateStyle", "ISO, MDY"},
-		{"TimeZone", "UTC"},
+		{"DateStyle", cmp.Or(parameters["DateStyle"], defaultDateStyle)},
+		{"TimeZone", cmp.Or(parameters["TimeZone"], defaultTimeZone)},
 		{"IntervalStyle", "postgres"},
 		{"integer_datetimes", "on"},
 		{"standard_conforming_strings", "on"},
--- a/internal/group/decide.go
+++ b/internal/group/decide.go
@@ -83,12 +83,12 @@
 		m.give(s.Home, m.row.Primary)
 		return
 	}
-	claimed := m.claimed && m.claimEpoch == m.leaseEpoch
+	claimed := m.claimValid()
 	if !claimed && m.now < m.leaseUntil {
 		m.sendSwap(swapClaim, m.selfRow(m.row.Term, m.row.Primary))
 		return
 	}
-	if ok && p.status.Role != dbconn.Primary && claimed && p.statusSent > m.rowSince {
+	if ok && p.status.Role != dbconn.Primary && claimed && p.statusSent > max(m.rowSince, m.openedAt) {
 		m.promoteAssigned()
 		return
 	}
@@ -107,7 +107,7 @@
 	if m.opened == m.row.Term {
 		return
 	}
-	m.opened, m.restart, m.failures = m.row.Term, false, 0
+	m.opened, m.openedAt, m.restart, m.failures = m.row.Term, m.now, false, 0
 	m.closing, m.suspected = false, false
 	m.count(CountOpened)
 	if m.gapStart != 0 {
@@ -174,8 +174,8 @@
 }
 
 // resign hands ownership on when the primary cannot replicate to a majority and
-// the other databases are out of reach: this zone is cut off, but not from the
-// store, so that no other host would ever find the lease lapsed.
+// neither databases nor hosts of other zones answer: this zone is cut off, but
+// not from the store, so that no other host would ever find the lease lapsed.
 func (m *Machine) resign() bool {
 	p := m.polls[m.row.Primary]
 	reachable := 0
@@ -192,7 +192,7 @@
 	if !m.lagging {
 		m.lagging, m.laggingFrom = true, m.now
 	}
-	if m.now-m.laggingFrom < 2*m.opt.Timing.Suspect || reachable >= m.majority() {
+	if m.now-m.laggingFrom < 2*m.opt.Timing.Suspect || reachable >= m.majority() || m.otherZoneAnswers() {
 		return false
 	}
 	to, ok := m.otherHome()
@@ -205,6 +205,13 @@
 	return true
 }
 
+func (m *Machine) otherZoneAnswers() bool {
+	return slices.ContainsFunc(m.servers, func(s Server) bool {
+		e := m.peers[s.Home.Name]
+		return e != nil && s.Home.Zone != m.opt.Self.Zone && e.ok && !e.missing && m.now-e.okSent < m.opt.Timing.Suspect
+	})
+}
+
 // otherHome returns the home host of a database in use, in another zone if possible.
 func (m *Machine) otherHome() (Host, bool) {
 	var best Host
@@ -257,7 +264,12 @@
 
 // candidate runs at home hosts that do not own the group.
 func (m *Machine) candidate() {
-	if !m.watching() || !m.ownerLapsed() {
+	if !m.watching() {
+		m.ready = false
+		return
+	}
+	lost := m.row.Primary == "" || m.suspectPrimary()
+	if !m.ownerLapsed() {
 		m.ready = false
 		return
 	}
@@ -276,7 +288,7 @@
 		}
 		return
 	}
-	if m.row.Primary != "" && !m.suspectPrimary() {
+	if !lost {
 		m.ready = false
 		return
 	}
@@ -375,7 +387,7 @@
 	t := m.opt.Timing
 	settling := m.swap != nil && m.swap.settle != 0
 	due := m.wantRow || settling || !m.rowKnown || (!m.isOwner() && m.now-m.readAt >= t.Refresh) ||
-		(m.rowKnown && m.revision == 0 && m.now-m.readAt >= t.Suspect)
+		(m.now-m.readAt >= t.Suspect && (m.revision == 0 || m.watching()))
 	if m.reading || !due || (m.readID > 0 && m.readAt != 0 && m.now-m.readAt < t.Retry) {
 		return
 	}
@@ -426,7 +438,7 @@
 		return
 	}
 	missed := m.now-m.primaryOK > m.opt.Timing.Poll*3/2
-	everyone := (m.isOwner() && missed) || (m.watching() && m.ownerMissed())
+	everyone := (m.isOwner() && (missed || m.lagging)) || (m.watching() && m.ownerMissed())
 	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
 		p := m.peers[name]
 		due := everyone || (!m.isOwner() && name == m.row.Owner)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -153,9 +153,7 @@
 	for _, g := range doc.Inventory.Groups {
 		listed[g.Name] = true
 		servers := o.servers(doc, g)
-		home := slices.ContainsFunc(servers, func(s group.Server) bool {
-			return s.Home.Name == o.self.Name
-		})
+		home := o.homes(servers)
 		r := o.runner(g.Name)
 		if r == nil && home {
 			r = o.startRunner(g.Name)
@@ -174,6 +172,19 @@
 	o.mu.Unlock()
 }
 
+func (o *Owner) refreshGroup(r *runner) {
+	doc := o.opt.Fleet.Document()
+	if doc == nil {
+		return
+	}
+	for _, g := range doc.Inventory.Groups {
+		if g.Name == r.name {
+			servers := o.servers(doc, g)
+			r.setServers(g, servers, o.homes(servers))
+		}
+	}
+}
+
 func (o *Owner) servers(doc *config.Document, g config.Group) []group.Server {
 	list := make([]group.Server, 0, len(g.Servers))
 	for _, s := range g.Servers {
@@ -187,6 +198,10 @@
 	return list
 }
 
+func (o *Owner) homes(servers []group.Server) bool {
+	return slices.ContainsFunc(servers, func(s group.Server) bool { return s.Home.Name == o.self.Name })
+}
+
 func (o *Owner) runner(name string) *runner {
 	o.mu.RLock()
 	defer o.mu.RUnlock()
@@ -218,17 +233,14 @@
 	if doc == nil {
 		return nil
 	}
-	for _, g := range doc.Inventory.Groups {
-		if g.Name != name {
-			continue
-		}
-		r := o.startRunner(name)
-		if r != nil {
-			r.setServers(g, o.servers(doc, g), false)
-		}
-		return r
+	if !slices.ContainsFunc(doc.Inventory.Groups, func(g config.Group) bool { return g.Name == name }) {
+		return nil
 	}
-	return nil
+	r := o.startRunner(name)
+	if r != nil {
+		o.refreshGroup(r)
+	}
+	return r
 }
 
 func noPrimary(name string) error {
@@ -291,7 +303,10 @@
 	return r.machine.Age(o.now(), term, position)
 }
 
-// Primary returns the primary of a group, false while it is not known to be open.
+// Primary returns the primary of a group, false while it is not known to be
+// open. Only hosts with a home role in the group follow its primary: at full
+// size every host uses hundreds of groups, and following all of them would
+// exceed the network budget of the control plane.
 func (o *Owner) Primary(name string) (server string, term uint64, ok bool) {
 	r := o.runner(name)
 	if r == nil {
