Add the scenarios zone and outage

zone withdraws a key whose sessions work, takes a zone out through a change of the configuration and brings it back. outage keeps the platform down for most of the run and changes the configuration right after its return.

--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -35,6 +35,8 @@
 var scenarios = map[string]scenario{
 	"failover": {runFailover, 30 * time.Second},
 	"noisy":    {runNoisy, 30 * time.Second},
+	"zone":     {runZone, 25 * time.Second},
+	"outage":   {runOutage, 25 * time.Second},
 }
 
 // Names returns the names of the scenarios.
--- a/internal/bench/scenario_test.go
+++ b/internal/bench/scenario_test.go
@@ -47,3 +47,17 @@
 	assert.Assert(t, figures["within_rate_requests"].Value.(int) > 200)
 	assert.Assert(t, figures["naive_wrongful_refusals"].Value.(int) > 0)
 }
+
+// Guards against requests that are cut, lost or admitted over the limit while a
+// zone leaves and returns.
+func TestZoneSmoke(t *testing.T) {
+	figures := smoke(t, "zone", 9*time.Second)
+	requireMet(t, figures, "config_in_force_s", "key_withdrawn_s", "requests_cut", "admitted_over_limit", "writes_lost", "stale_reads", "false_not_run")
+	assert.Assert(t, figures["control_bytes_per_host_per_s"].Value.(float64) > 0)
+}
+
+// Guards against service that depends on the platform's store.
+func TestOutageSmoke(t *testing.T) {
+	figures := smoke(t, "outage", 8*time.Second)
+	requireMet(t, figures, "config_in_force_s", "key_withdrawn_s", "requests_cut", "served_share_during", "admitted_over_limit", "writes_lost", "stale_reads", "false_not_run")
+}
