--- a/internal/entry/client.go
+++ b/internal/entry/client.go
@@ -338,13 +338,18 @@
 	begins := x == nil || !x.inBatch
 	runs := c.machine.Runs()
 	c.mu.Unlock()
+	bound := deadline(c.route)
 	if x == nil {
 		var refused *verdict.Error
 		if x, refused = c.open(); refused != nil {
 			return c.refuseBatch(refused, ended)
 		}
+		bound = time.Until(x.end)
 	} else if runs && !x.admitted {
-		if err := c.entry.opts.Limiter.Admit(x.ctx, c.customer); err != nil {
+		ctx, done := context.WithTimeout(x.ctx, bound)
+		err := c.entry.opts.Limiter.Admit(ctx, c.customer)
+		done()
+		if err != nil {
 			refused := verdict.From(err)
 			c.entry.refused(refused)
 			c.mu.Lock()
@@ -354,7 +359,7 @@
 		x.admitted = true
 	}
 	if begins {
-		x.beginBatch(deadline(c.route))
+		x.beginBatch(bound)
 	}
 	c.mu.Lock()
 	if c.exchange != x {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -19,8 +19,10 @@
 	stream peer.RunStream
 	ctx    context.Context
 	cancel context.CancelFunc
-	// admitted is used by the client's goroutine only.
+	// admitted and end are used by the client's goroutine only; end is the
+	// deadline of the first batch.
 	admitted bool
+	end      time.Time
 
 	// sendMu serialises Send, which gRPC does not.
 	sendMu sync.Mutex
@@ -53,7 +55,8 @@
 	c.route = route
 	ctx, cancel := context.WithCancel(e.base)
 	x := &exchange{client: c, ctx: ctx, cancel: cancel, inBatch: true}
-	openCtx, done := context.WithTimeout(ctx, deadline(route))
+	x.end = time.Now().Add(deadline(route))
+	openCtx, done := context.WithDeadline(ctx, x.end)
 	defer done()
 	guard := time.AfterFunc(deadline(route)+overdueGrace, func() {
 		c.abortOpening(x, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "no home host accepted the request before its deadline"))
@@ -107,8 +110,7 @@
 		}
 		start.Floor = floor.Proto()
 	}
-	end, _ := ctx.Deadline()
-	if start.TimeoutUs = time.Until(end).Microseconds(); start.TimeoutUs <= 0 {
+	if start.TimeoutUs = time.Until(x.end).Microseconds(); start.TimeoutUs <= 0 {
 		return nil, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the request waited until its deadline")
 	}
 	// The stream lives longer than the call that opens it.
