--- a/internal/entry/lifecycle_test.go
+++ b/internal/entry/lifecycle_test.go
@@ -205,6 +205,35 @@
 	assert.Equal(t, f.home.announced.Load(), before+1)
 }
 
+// Guards against statements that escape the rate limit because the batch began
+// with a prepare, and against a statement that is lost when it is flushed.
+func TestFlushedPrepare(t *testing.T) {
+	f := newFixture(t, nil)
+	c := f.connect("w")
+	for _, limited := range []bool{false, true} {
+		p := c.PgConn().StartPipeline(context.Background())
+		p.SendPrepare(fmt.Sprint(limited), "insert", nil)
+		p.SendFlushRequest()
+		assert.NilError(t, p.Flush())
+		_, err := p.GetResults()
+		assert.NilError(t, err)
+		f.limited.Store(limited)
+		p.SendQueryPrepared(fmt.Sprint(limited), nil, nil, nil)
+		err = p.Sync()
+		assert.NilError(t, err)
+		r, err := p.GetResults()
+		if !limited {
+			assert.NilError(t, err)
+			_, err = r.(*pgconn.ResultReader).Close()
+		}
+		assert.Equal(t, code(err), map[bool]string{true: "53400"}[limited])
+		assert.NilError(t, p.Close())
+	}
+	assert.Equal(t, f.home.position, uint64(1))
+	f.limited.Store(false)
+	selectText(t, c, "after the refusal")
+}
+
 // Guards against answers that reach another session, and against a session that
 // hangs, while statements fail, are cancelled and lose their streams.
 func TestSessionsUnderFailures(t *testing.T) {
