Close a backend connection once, and log counters when a process test fails

Cause: a host crashed on a nil connection: the state machine was told of lost budget before it was told that the connection had ended, and asked to close it again.

--- a/cmd/cranberryhinge/main_test.go
+++ b/cmd/cranberryhinge/main_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -96,6 +98,7 @@
 	hosts     []*process
 	clients   []string
 	peers     []string
+	admins    []string
 	key       string
 	// relays carry the hosts' connections to the databases.
 	relays []*faultnet.Relay
@@ -109,9 +112,9 @@
 	t.Helper()
 	const databases, hosts = 3, 4
 	d := &deployment{dir: t.TempDir(), key: "acme.k1." + testSecret}
-	addresses := freeAddresses(t, 1+databases+2*hosts)
+	addresses := freeAddresses(t, 1+databases+3*hosts)
 	platform, dbs, rest := addresses[0], addresses[1:1+databases], addresses[1+databases:]
-	d.clients, d.peers = rest[:hosts], rest[hosts:]
+	d.clients, d.peers, d.admins = rest[:hosts], rest[hosts:2*hosts], rest[2*hosts:]
 	d.writeConfiguration(t, d.relayed(t, dbs))
 	d.writeCertificate(t)
 
@@ -122,6 +125,7 @@
 	for i := range hosts {
 		d.hosts = append(d.hosts, startProgram(t, "serve", "--settings", d.hostSettings(t, i, platform)))
 	}
+	t.Cleanup(func() { d.dumpMetrics(t) })
 	d.apply(t)
 	return d
 }
@@ -141,6 +145,28 @@
 	return addresses
 }
 
+// dumpMetrics logs the hosts' counters after a failure. It runs before the
+// processes are killed.
+func (d *deployment) dumpMetrics(t *testing.T) {
+	t.Helper()
+	if !t.Failed() {
+		return
+	}
+	client := http.Client{Timeout: time.Second}
+	for i, a := range d.admins {
+		for _, page := range []string{"/metrics.json", "/status"} {
+			resp, err := client.Get("http://" + a + page)
+			if err != nil {
+				t.Logf("host %d: %v", i, err)
+				continue
+			}
+			body, _ := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			t.Logf("host %d: %s", i, body)
+		}
+	}
+}
+
 func (d *deployment) write(t *testing.T, name, content string) string {
 	t.Helper()
 	path := filepath.Join(d.dir, name)
@@ -210,10 +236,11 @@
 zone: %s
 client: {listen: "%s", certificate: %s, key: %s}
 peer: {listen: "%s"}
+admin: {listen: "%s"}
 platform: "%s"
 backend: {user: proxy, password: backend-password, database: app}
 drain_timeout: 8s
-`, i, testZones[i%len(testZones)], d.clients[i], filepath.Join(d.dir, "cert.pem"), filepath.Join(d.dir, "key.pem"), d.peers[i], platform))
+`, i, testZones[i%len(testZones)], d.clients[i], filepath.Join(d.dir, "cert.pem"), filepath.Join(d.dir, "key.pem"), d.peers[i], d.admins[i], platform))
 }
 
 // apply publishes the configuration, and tries again while the hosts start.
--- a/internal/home/pool.go
+++ b/internal/home/pool.go
@@ -158,8 +158,10 @@
 		case backend.Open:
 			p.open()
 		case backend.Close:
-			c := p.conns[a.Conn]
-			p.spawn(func() { c.end() })
+			// The connection may have ended by itself in the meantime.
+			if c, ok := p.conns[a.Conn]; ok {
+				p.spawn(func() { c.end() })
+			}
 		}
 	}
 }
@@ -262,15 +264,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.conns, c.id)
+	if id := c.resetFor.Load(); id != 0 {
+		p.apply(p.machine.Finish(p.now(), backend.RequestID(id), false))
+	}
+	p.apply(p.machine.Closed(p.now(), c.id))
 	if !confirmed {
 		// The server may still count it; the next count settles that.
 		p.apply(p.machine.SetOthers(p.now(), p.machine.Others()+1))
 		p.recount()
 	}
-	if id := c.resetFor.Load(); id != 0 {
-		p.apply(p.machine.Finish(p.now(), backend.RequestID(id), false))
-	}
-	p.apply(p.machine.Closed(p.now(), c.id))
 	p.checkDrained()
 }
 
