Harden the home host and test its verdicts under faults

- A read intent on the primary that may have written is confirmed like a write.
- A replica whose last known status is primary is asked again.
- A slow entry host keeps neither a slot nor a connection after the deadline.
- Connections that ended here but perhaps not at the server stay in the count.
- The position of a commit has an answer kind of its own, which removes a race between an abandoned stream and the reader.

--- a/internal/home/cancel.go
+++ b/internal/home/cancel.go
@@ -15,9 +15,9 @@
 // server now. The connection serves no other stream afterwards, because the
 // cancel request may take effect after the batch has ended.
 func (r *run) cancelRunning() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.active || r.finished {
+	r.activity.Lock()
+	defer r.activity.Unlock()
+	if !r.activity.running {
 		return
 	}
 	c := r.conn
--- /dev/null
+++ b/internal/home/chaos_test.go
@@ -0,0 +1,134 @@
+package home
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+)
+
+// fault does one harm to the backend server or its links.
+func fault(f *fixture, rng *rand.Rand, epoch *uint64, server config.Server) {
+	pick := func(do func(*session)) {
+		f.srv.with(func() {
+			for s := range f.srv.sessions { // any, in map order
+				do(s)
+				return
+			}
+		})
+	}
+	brief := func(on, off func()) {
+		f.srv.with(on)
+		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+		f.srv.with(off)
+	}
+	switch rng.IntN(7) {
+	case 0, 1:
+		pick(func(s *session) { _ = s.nc.Close() })
+	case 2:
+		pick(func(s *session) { f.srv.silent[s] = true })
+	case 3:
+		brief(func() { f.srv.role = dbconn.Replica }, func() { f.srv.role = dbconn.Primary })
+	case 4:
+		brief(func() { f.srv.refuse = true }, func() { f.srv.refuse = false })
+	case 5:
+		*epoch++
+		f.srv.evict(*epoch)
+		f.home.Hold("g", server, *epoch)
+	default:
+		f.auth.mu.Lock()
+		f.auth.writeErr = fmt.Errorf("fault")
+		f.auth.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+		f.auth.mu.Lock()
+		f.auth.writeErr = nil
+		f.auth.mu.Unlock()
+	}
+}
+
+// write sends one write, alone or in a transaction, and returns its outcome.
+func write(f *fixture, rng *rand.Rand, customer, sql string) (r result) {
+	c := f.start(&peerpb.Start{Customer: customer, Intent: peerpb.Intent_INTENT_WRITE, TimeoutUs: 300_000})
+	defer c.cancel()
+	steps := []string{sql}
+	if rng.IntN(2) == 0 {
+		steps = []string{"BEGIN", sql, "COMMIT"}
+	}
+	for _, q := range steps {
+		c.query(q)
+		if rng.IntN(30) == 0 {
+			c.cancel()
+		}
+		if r = c.result(); r.ready == nil {
+			return r
+		}
+	}
+	return r
+}
+
+// Guards against verdicts that are untrue under faults: a write reported as not
+// run must not be applied, an acknowledged one exactly once, none twice; the
+// connection limit holds and service returns.
+func TestVerdictsUnderFaults(t *testing.T) {
+	f := newFixture(t, nil)
+	server := testServer
+	server.Address = f.srv.ln.Addr().String()
+	stop := make(chan struct{})
+	var faults, workers sync.WaitGroup
+	faults.Go(func() {
+		rng, epoch := rand.New(rand.NewPCG(1, 0)), uint64(1)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Duration(rng.IntN(15)) * time.Millisecond):
+				fault(f, rng, &epoch, server)
+			}
+		}
+	})
+	var mu sync.Mutex
+	counts := map[string]int{}
+	end := time.Now().Add(2 * time.Second)
+	for w := range 8 {
+		workers.Go(func() {
+			rng := rand.New(rand.NewPCG(2, uint64(w)))
+			for i := 0; time.Now().Before(end); i++ {
+				sql := fmt.Sprintf("INSERT %d-%d", w, i)
+				r := write(f, rng, fmt.Sprint("c", w%3), sql)
+				applied := 0
+				f.srv.with(func() { applied = f.srv.applied[sql] })
+				outcome := "may have run"
+				switch {
+				case r.ready != nil && r.ready.Token != nil:
+					outcome = "acknowledged"
+					assert.Check(t, applied == 1, "%s applied %d times", sql, applied)
+				case r.failure != nil && r.failure.Verdict == failureNotRun:
+					outcome = "not run"
+					assert.Check(t, applied == 0, "%s: %+v", sql, r.failure)
+				}
+				mu.Lock()
+				counts[outcome]++
+				mu.Unlock()
+			}
+		})
+	}
+	workers.Wait()
+	close(stop)
+	faults.Wait()
+	t.Logf("%v", counts)
+	f.srv.with(func() {
+		for sql, n := range f.srv.applied {
+			assert.Check(t, n == 1, "%s applied %d times", sql, n)
+		}
+		assert.Check(t, f.srv.maxOpen <= testServer.Connections, "%d connections were open", f.srv.maxOpen)
+	})
+	assert.Assert(t, counts["acknowledged"] > 0 && counts["not run"] > 0 && counts["may have run"] > 0)
+	assert.Assert(t, eventually(func() bool { return f.writer().query("INSERT last").result().ready != nil }))
+}
--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -59,8 +59,10 @@
 const (
 	// answerDiscard is the answer to a query of the home host's own.
 	answerDiscard answerKind = iota
-	// answerStatus is the answer to the status query.
+	// answerStatus is the answer to the status query ahead of a read.
 	answerStatus
+	// answerPosition is the answer to the status query after a commit.
+	answerPosition
 	// answerBatch is the answer to a batch of the entry host.
 	answerBatch
 	// answerReset is the answer to the reset query. The connection is idle after it.
@@ -87,8 +89,10 @@
 	// during the call. final is set from the first completed command on. An
 	// error makes the reader close the connection.
 	relay(chunk []byte, final bool) error
-	// statusRow reports the answer to a status query.
+	// statusRow reports the answer to the status query ahead of a read.
 	statusRow(dbconn.Status) error
+	// position reports the answer to the status query after a commit.
+	position(dbconn.Status)
 	// commandTag reports a completed command.
 	commandTag(tag []byte)
 	// serverError reports an error that is about to be relayed and says
@@ -132,6 +136,7 @@
 	// retire is set when the connection must not serve another stream.
 	retire bool
 
+	reported   sync.Once
 	statements *statements
 	heardAt    atomic.Int64
 	// resetFor is the request after which the connection is being reset, 0 none.
@@ -197,7 +202,11 @@
 		return false
 	}
 	now := time.Now()
-	time.AfterFunc(lingerTimeout, func() { _ = c.nc.Close() })
+	time.AfterFunc(lingerTimeout, func() {
+		_ = c.nc.Close()
+		// The reader goroutine may be busy with a send to a slow entry host.
+		c.report(errLingered, false)
+	})
 	if err := c.write(terminateBytes, now.Add(terminateTimeout)); err == nil {
 		if t, ok := c.nc.(*net.TCPConn); ok {
 			_ = t.CloseWrite()
@@ -291,7 +300,15 @@
 		confirmed = err == nil || closedByPeer(err)
 	}
 	_ = c.nc.Close()
-	c.owner.ended(c, err, confirmed)
+	c.report(err, confirmed)
+}
+
+// errLingered ends a connection whose server did not close its end in time.
+var errLingered = errors.New("the backend server did not close the connection")
+
+// report tells the owner about the end, once.
+func (c *conn) report(err error, confirmed bool) {
+	c.reported.Do(func() { c.owner.ended(c, err, confirmed) })
 }
 
 func closedByPeer(err error) bool {
@@ -365,6 +382,9 @@
 		if !r.open {
 			r.begin()
 		}
+		if r.open && r.sink == nil && r.answer.kind == answerBatch {
+			return errors.New("answer without receiver")
+		}
 		if r.passes(kind) {
 			r.skip = size
 			continue
@@ -492,7 +512,7 @@
 
 // own handles a message that answers a query of the home host's own.
 func (r *reader) own(kind byte, body []byte, size int) error {
-	if kind == msgDataRow && r.answer.kind == answerStatus {
+	if kind == msgDataRow && (r.answer.kind == answerStatus || r.answer.kind == answerPosition) {
 		row, err := decodeRow(body)
 		if err != nil {
 			return err
@@ -552,12 +572,16 @@
 	c.retire = c.retire || a.closing > 0
 	c.mu.Unlock()
 	switch a.kind {
-	case answerStatus:
+	case answerStatus, answerPosition:
 		if r.rows != 1 {
 			return errors.Errorf("status query returned %d rows", r.rows)
 		}
-		if s != nil {
+		switch {
+		case s == nil:
+		case a.kind == answerStatus:
 			return s.statusRow(r.status)
+		default:
+			s.position(r.status)
 		}
 	case answerPing:
 		if s != nil {
@@ -567,9 +591,6 @@
 		c.owner.clean(c)
 	case answerBatch:
 		c.statements.forget(a.parsing[a.parsed:])
-		if s == nil {
-			return errors.New("answer without receiver")
-		}
 		s.ready(txStatus)
 	}
 	return nil
@@ -592,9 +613,6 @@
 	}
 	chunk := r.buf[r.from:r.at]
 	r.from = r.at
-	if r.sink == nil {
-		return errors.New("answer without receiver")
-	}
 	return r.sink.relay(chunk, r.final)
 }
 
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -15,6 +15,12 @@
 	// recountInterval is the wait between two counts of a server's connections
 	// while some are not accounted for.
 	recountInterval = 100 * time.Millisecond
+	// maxRecountInterval bounds that wait, which doubles.
+	maxRecountInterval = 2 * time.Second
+	// lostFor is the time for which a connection that was closed here, but
+	// perhaps not at the server, is told from the monitor connections of other
+	// hosts. They cannot be told apart in the server's count.
+	lostFor = time.Minute
 	// checkInterval is the time between two looks at the idle connections.
 	checkInterval = 500 * time.Millisecond
 	// pingAfter is the silence after which an idle connection is asked for a
@@ -120,7 +126,12 @@
 	// The smaller number of own connections gives the larger number of others,
 	// which is the safe error.
 	own := min(before, p.machine.Connections())
-	others := max(s.Connections-own-backend.MonitorConnections, 0)
+	foreign := max(s.Connections-own-1, 0) // without the one that asked
+	if time.Now().After(p.lostUntil) {
+		p.lost = 0
+	}
+	p.lost = min(p.lost, foreign)
+	others := max(foreign-(backend.MonitorConnections-1), p.lost)
 	p.apply(p.machine.SetOthers(p.now(), others))
 	if others > 0 {
 		p.recount()
@@ -134,6 +145,12 @@
 	return p.machine.Connections()
 }
 
+func (p *pool) others() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.machine.Others()
+}
+
 // recount asks for another count.
 func (p *pool) recount() {
 	select {
@@ -148,12 +165,14 @@
 	if !p.counting.CompareAndSwap(false, true) {
 		return
 	}
-	defer p.counting.Store(false)
-	for p.sleep(recountInterval) {
-		p.mu.Lock()
-		others := p.machine.Others()
-		p.mu.Unlock()
-		if others == 0 {
+	defer func() {
+		p.counting.Store(false)
+		if p.others() > 0 {
+			p.recount() // one appeared after the last look
+		}
+	}()
+	for wait := recountInterval; p.sleep(wait); wait = min(2*wait, maxRecountInterval) {
+		if p.others() == 0 {
 			return
 		}
 		if err := p.count(true); err != nil && p.ctx.Err() == nil {
--- a/internal/home/frontend.go
+++ b/internal/home/frontend.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"bytes"
 	"encoding/binary"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -30,6 +31,8 @@
 // asked for between two batches.
 type frontend struct {
 	pending []byte
+	// owned is set when pending is not the entry host's message itself.
+	owned bool
 	// started is set while a message of the current batch was taken.
 	started bool
 	// endedBy is the type of the message that ended the current batch, else 0.
@@ -41,10 +44,13 @@
 // add appends bytes that the entry host sent.
 func (f *frontend) add(b []byte) {
 	if len(f.pending) == 0 {
-		f.pending = b
+		f.pending, f.owned = b, false
 		return
 	}
-	f.pending = append(f.pending[:len(f.pending):len(f.pending)], b...)
+	if !f.owned {
+		f.pending, f.owned = bytes.Clone(f.pending), true
+	}
+	f.pending = append(f.pending, b...)
 }
 
 // take returns the whole messages of the current batch that may be sent now.
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -146,12 +146,12 @@
 }
 
 // pool returns the pool of a server whose role is held.
-func (h *Home) pool(server string) (*pool, error) {
+func (h *Home) pool(group, server string) (*pool, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p, ok := h.pools[server]
-	if !ok {
-		return nil, verdict.New(verdict.NotRun, verdict.WrongHome, "%s is not the home host of %s", h.opt.Host, server)
+	if !ok || p.group != group {
+		return nil, verdict.New(verdict.NotRun, verdict.WrongHome, "%s is not the home host of %s in group %s", h.opt.Host, server, group)
 	}
 	return p, nil
 }
@@ -172,7 +172,7 @@
 	if start == nil {
 		return sendFailure(s, verdict.New(verdict.NotRun, verdict.ProtocolViolation, "stream without start"))
 	}
-	p, err := h.pool(start.Server)
+	p, err := h.pool(start.Group, start.Server)
 	if err != nil {
 		h.opt.Counters.Refused(verdict.From(err).Reason)
 		return sendFailure(s, verdict.From(err))
--- a/internal/home/pool.go
+++ b/internal/home/pool.go
@@ -54,8 +54,12 @@
 	lastID  uint64
 	// unreachable is set while no connection can be opened and none is open.
 	unreachable bool
-	draining    bool
-	drained     chan struct{}
+	// lost counts connections that were closed here but perhaps not at the
+	// server, until lostUntil.
+	lost      int
+	lostUntil time.Time
+	draining  bool
+	drained   chan struct{}
 }
 
 func newPool(h *Home, group string, server config.Server, epoch uint64) *pool {
@@ -261,9 +265,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.conns, c.id)
 	if !confirmed {
-		// The server may still count it; the next count settles that.
+		// The server may still count it; the next counts settle that.
+		p.lost, p.lostUntil = p.lost+1, time.Now().Add(lostFor)
 		p.apply(p.machine.SetOthers(p.now(), p.machine.Others()+1))
 		p.recount()
 	}
@@ -271,6 +275,8 @@
 		p.apply(p.machine.Finish(p.now(), backend.RequestID(id), false))
 	}
 	p.apply(p.machine.Closed(p.now(), c.id))
+	// Only now, because the actions above may name the connection.
+	delete(p.conns, c.id)
 	p.checkDrained()
 }
 
@@ -345,8 +351,7 @@
 	if _, ok := p.runs[r.id]; !ok {
 		return
 	}
-	delete(p.runs, r.id)
-	p.apply(p.machine.Finish(p.now(), r.id, true))
+	p.finish(r, true)
 }
 
 // resume waits for a slot for the next statement of a transaction.
@@ -372,19 +377,31 @@
 	p.mu.Unlock()
 }
 
-// abandon closes a connection in use and cancels what runs on it, because the
-// backend server notices the end only between statements.
-func (p *pool) abandon(c *conn) {
-	if c.end() {
-		p.mu.Lock()
+// abandon closes the connection of a stream and cancels what runs on it, because
+// the backend server notices the end only between statements.
+func (p *pool) abandon(r *run) {
+	r.running(false)
+	c := r.conn
+	ending := c.end()
+	c.attach(nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ending {
 		p.spawn(func() { p.sendCancel(c) })
-		p.mu.Unlock()
 	}
+	p.finish(r, false)
 }
 
-// release takes the connection of a stream back. A clean one is reset first;
-// the state machine gets it back once the reset is answered, which also shows
-// that the connection still works.
+// finish ends a stream's request in the state machine. The lock is held.
+func (p *pool) finish(r *run, reuse bool) {
+	r.slot = false
+	delete(p.runs, r.id)
+	p.apply(p.machine.Finish(p.now(), r.id, reuse))
+}
+
+// release takes the clean connection of a stream back. It is reset first; the
+// state machine gets it back once the reset is answered, which also shows that
+// the connection still works.
 func (p *pool) release(r *run) {
 	p.yield(r)
 	c := r.conn
@@ -402,8 +419,7 @@
 	c.end()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.runs, r.id)
-	p.apply(p.machine.Finish(p.now(), r.id, false))
+	p.finish(r, false)
 }
 
 // clean implements owner.
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -86,8 +86,6 @@
 	sent bool
 	// dirty is set while the connection cannot serve another stream.
 	dirty bool
-	// readOnly is set once the connection defaults to read-only transactions.
-	readOnly bool
 	// inTx is set while the backend server reports an open transaction.
 	inTx bool
 	// slot is set while a slot of the backend server is held.
@@ -97,6 +95,7 @@
 	// statusAhead is set while the stream waits for the status alone.
 	statusAhead bool
 
+	activity activity
 	answerState
 }
 
@@ -156,8 +155,11 @@
 		err = r.transact()
 	}
 	if r.dirty || r.inTx {
-		// Before finish, which waits for a send to a slow entry host.
-		r.p.abandon(r.conn)
+		// The connection and the slot are given up before finish, which waits
+		// for a send to an entry host that may not be reading.
+		r.p.abandon(r)
+		r.finish()
+		return err
 	}
 	r.finish()
 	r.p.release(r)
@@ -219,11 +221,16 @@
 
 // authorize checks the authority that the request needs before it is sent.
 func (r *run) authorize() error {
-	if !r.write() && !r.current() && !r.p.primary() {
+	mayUseReplica := !r.write() && !r.current()
+	if mayUseReplica && !r.p.primary() {
 		return nil
 	}
 	term, err := r.h.opt.Authority.Writable(r.start.Group, r.start.Server)
 	if err != nil {
+		if mayUseReplica {
+			// What is known of the server may be old; its status decides.
+			return nil
+		}
 		return refusedBy(err)
 	}
 	if floor := r.start.Floor; floor != nil && floor.Term > term {
@@ -323,13 +330,8 @@
 	if err := r.authorize(); err != nil {
 		return err
 	}
-	if !r.readOnly {
-		r.readOnly = true
-		r.prefix.bytes = encode(r.prefix.bytes, &pgproto3.Query{String: readOnlyQuery})
-		r.prefix.answers = append(r.prefix.answers, answer{kind: answerDiscard})
-	}
-	r.prefix.bytes = encode(r.prefix.bytes, &pgproto3.Query{String: dbconn.StatusQuery})
-	r.prefix.answers = append(r.prefix.answers, answer{kind: answerStatus})
+	r.prefix.bytes = readPrefix
+	r.prefix.answers = []answer{{kind: answerDiscard}, {kind: answerStatus}}
 	if r.p.satisfies(r) {
 		return nil
 	}
@@ -382,6 +384,10 @@
 	}
 }
 
+// readPrefix goes ahead of a read. It is repeated for every transaction, because
+// the one before may have changed the setting.
+var readPrefix = encode(encode(nil, &pgproto3.Query{String: readOnlyQuery}), &pgproto3.Query{String: dbconn.StatusQuery})
+
 // exchange sends the batch and returns the transaction status that ends its
 // answer.
 func (r *run) exchange() (byte, error) {
@@ -460,7 +466,9 @@
 	}
 	r.prefix.batch.kind = answerBatch
 	answers := append(r.prefix.answers, r.prefix.batch)
-	out = append(r.prefix.bytes, out...)
+	if len(r.prefix.bytes) > 0 {
+		out = append(r.prefix.bytes[:len(r.prefix.bytes):len(r.prefix.bytes)], out...)
+	}
 	r.prefix = batchPrefix{}
 	r.running(true)
 	return r.send(out, answers)
@@ -518,10 +526,10 @@
 // confirm obtains the confirmation that the answer of a write needs and returns
 // the causality token.
 func (r *run) confirm(status byte) (*peerpb.Token, error) {
-	if !r.write() || status != txIdle || !r.needsConfirmation() {
+	if status != txIdle || !r.needsConfirmation() {
 		return nil, nil
 	}
-	if err := r.send(statusQuery, []answer{{kind: answerStatus}}); err != nil {
+	if err := r.send(statusQuery, []answer{{kind: answerPosition}}); err != nil {
 		return nil, err
 	}
 	ev, err := r.await(eventStatus)
--- a/internal/home/sink.go
+++ b/internal/home/sink.go
@@ -30,8 +30,6 @@
 	mu       sync.Mutex
 	finished bool
 	accepted bool
-	// active is set while a batch runs on the backend server.
-	active bool
 	// buffered is set while the entry host awaits nothing before the batch ends.
 	buffered bool
 	held     [][]byte
@@ -43,15 +41,25 @@
 	// commands counts the completed commands of the batch, rolledBack those
 	// among them that are a ROLLBACK.
 	commands, rolledBack int
+	// mayHaveWritten is set when the batch of a read may have written, so that
+	// it has to be confirmed like a write.
+	mayHaveWritten bool
 	// withheld is an error that the entry host is told as a verdict instead.
 	withheld *pgproto3.ErrorResponse
 }
 
+// activity says whether a batch runs on the backend server. It has a lock of its
+// own, because a send to a slow entry host must not delay a cancel request.
+type activity struct {
+	sync.Mutex
+	running bool
+}
+
 // beginBatch clears the state of the previous batch.
 func (r *run) beginBatch() {
 	r.mu.Lock()
 	r.buffered, r.held, r.heldLen, r.relayed, r.readConfirmed = false, nil, 0, false, false
-	r.commands, r.rolledBack, r.withheld = 0, 0, nil
+	r.commands, r.rolledBack, r.withheld, r.mayHaveWritten = 0, 0, nil, false
 	r.mu.Unlock()
 }
 
@@ -71,16 +79,17 @@
 
 // running notes whether a batch runs on the backend server.
 func (r *run) running(on bool) {
-	r.mu.Lock()
-	r.active = on
-	r.mu.Unlock()
+	r.activity.Lock()
+	r.activity.running = on
+	r.activity.Unlock()
 }
 
-// needsConfirmation reports whether the batch completed anything but rollbacks.
+// needsConfirmation reports whether the batch may have written and completed
+// anything but rollbacks.
 func (r *run) needsConfirmation() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.commands > r.rolledBack
+	return (r.write() || r.mayHaveWritten) && r.commands > r.rolledBack
 }
 
 // relay implements sink.
@@ -90,6 +99,9 @@
 	if r.finished {
 		return errGone
 	}
+	if final && r.mayHaveWritten {
+		return r.hold(chunk)
+	}
 	if r.write() && (final || (r.buffered && r.heldLen+len(chunk) <= earlyLimit)) {
 		return r.hold(chunk)
 	}
@@ -162,7 +174,6 @@
 func (r *run) sendReady(status byte, token *peerpb.Token) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.active = false
 	if err := r.sendHeld(); err != nil {
 		return err
 	}
@@ -173,10 +184,6 @@
 // answer to the request behind it is read.
 func (r *run) statusRow(s dbconn.Status) error {
 	r.p.observe(s)
-	if r.write() {
-		r.post(event{kind: eventStatus, status: s})
-		return nil
-	}
 	age, err := r.check(s)
 	if err != nil {
 		r.post(event{kind: eventFailed, err: err})
@@ -194,6 +201,12 @@
 	return nil
 }
 
+// position implements sink.
+func (r *run) position(s dbconn.Status) {
+	r.p.observe(s)
+	r.post(event{kind: eventStatus, status: s})
+}
+
 // check decides whether a read may be answered from a server with the status.
 // It returns the age of the data.
 func (r *run) check(s dbconn.Status) (time.Duration, error) {
@@ -230,9 +243,27 @@
 	if string(tag) == "ROLLBACK" {
 		r.rolledBack++
 	}
+	if !r.write() && mayWrite(tag, r.term != 0) {
+		r.mayHaveWritten = true
+	}
 	r.mu.Unlock()
 }
 
+// mayWrite reports whether a command of a read may have written. The read-only
+// default keeps single statements from writing, but a caller can ask for READ
+// WRITE in its transaction, which takes effect on a primary.
+func mayWrite(tag []byte, primary bool) bool {
+	word, _, _ := bytes.Cut(tag, []byte(" "))
+	switch string(word) {
+	case "SELECT", "SHOW", "FETCH", "MOVE", "BEGIN", "START", "ROLLBACK", "SAVEPOINT", "RELEASE", "DECLARE", "CLOSE", "EXPLAIN":
+		return false
+	case "INSERT", "UPDATE", "DELETE", "MERGE":
+		return true
+	default:
+		return primary
+	}
+}
+
 // serverError implements sink. A write that a server refused because it is not
 // the primary any more is reported as "not run", so that it can run on the new
 // primary.
