Apply a cancel request to the statement that it was sent behind

A request that waits for a connection is refused, one about to be sent is cancelled right after, and a cancel request between two statements has no effect on later ones.

--- a/internal/home/cancel.go
+++ b/internal/home/cancel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -11,15 +12,69 @@
 // cancelTimeout bounds the delivery of one cancel request.
 const cancelTimeout = time.Second
 
-// cancelRunning cancels the batch of the stream if it runs on the backend
-// server now. The connection serves no other stream afterwards, because the
-// cancel request may take effect after the batch has ended.
-func (r *run) cancelRunning() {
+// phase says what a cancel request means for a stream.
+type phase uint8
+
+const (
+	phaseQueued   phase = iota // waits for a connection: the request is refused
+	phaseStarting              // is about to be sent: it is cancelled once it was
+	phaseRunning               // runs on the backend server: it is cancelled there
+	phaseIdle                  // nothing runs: a cancel request has no effect
+)
+
+// activity is what a stream does now. It has a lock of its own, because a send
+// to a slow entry host must not delay a cancel request.
+type activity struct {
+	sync.Mutex
+	phase phase
+	// cancel is set by a cancel request that came while starting.
+	cancel bool
+}
+
+// enter changes the phase.
+func (r *run) enter(p phase) {
+	a := &r.activity
+	a.Lock()
+	defer a.Unlock()
+	a.phase = p
+	switch {
+	case p == phaseRunning && a.cancel:
+		r.cancelRunning()
+	case p == phaseStarting:
+		return
+	}
+	a.cancel = false
+}
+
+// requested notes that the entry host sent a request. A cancel request behind it
+// is meant for it, also if the stream's goroutine has not seen it yet.
+func (r *run) requested() {
 	r.activity.Lock()
 	defer r.activity.Unlock()
-	if !r.activity.running {
-		return
+	if r.activity.phase == phaseIdle {
+		r.activity.phase = phaseStarting
+	}
+}
+
+// cancelRequest acts on a cancel request of the entry host.
+func (r *run) cancelRequest() {
+	a := &r.activity
+	a.Lock()
+	defer a.Unlock()
+	switch a.phase {
+	case phaseQueued:
+		r.cancelOnce.Do(func() { close(r.cancelled) })
+	case phaseStarting:
+		a.cancel = true
+	case phaseRunning:
+		r.cancelRunning()
 	}
+}
+
+// cancelRunning cancels the batch that runs on the backend server. The
+// connection serves no other stream afterwards, because the cancel request may
+// take effect after the batch has ended.
+func (r *run) cancelRunning() {
 	c := r.conn
 	c.markRetired()
 	r.p.mu.Lock()
--- a/internal/home/failure_test.go
+++ b/internal/home/failure_test.go
@@ -83,6 +83,27 @@
 	close(gate)
 	assert.Assert(t, c.result().ready != nil)
 	f.srv.with(func() { assert.DeepEqual(t, f.srv.cancels, []uint32{pid}) })
+	// The cancel request that came between two statements has no later effect.
+	for range 20 {
+		assert.Assert(t, idle.query("INSERT a").result().ready != nil)
+	}
+}
+
+// Guards against a cancel request that is lost while the statement of an open
+// transaction waits for a slot.
+func TestCancelBeforeStatementIsSent(t *testing.T) {
+	f := newFixture(t, slots(1))
+	tx := f.writer().query("BEGIN")
+	assert.Assert(t, tx.result().ready != nil)
+	unblock := f.srv.block("INSERT slow")
+	slow := f.writer().query("INSERT slow")
+	f.srv.busy("INSERT slow")
+	tx.query("INSERT a")
+	assert.NilError(t, tx.s.Send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Cancel{Cancel: true}}))
+	unblock()
+	assert.Assert(t, slow.result().ready != nil)
+	assert.Assert(t, tx.result().ready != nil)
+	assert.Assert(t, eventually(func() (ok bool) { f.srv.with(func() { ok = len(f.srv.cancels) == 1 }); return ok }))
 }
 
 // recovered reports whether all connections are open and none is silent.
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -47,8 +47,9 @@
 	OnEvicted func(server string)
 }
 
-// openers is the number of connections that one host opens at the same time.
-const openers = 32
+// openers is the number of connections that one host opens at the same time. An
+// unreachable server occupies up to 4 of them, which must not hold up others.
+const openers = 128
 
 // Home serves the backend servers whose home role this host holds.
 type Home struct {
--- a/internal/home/pool.go
+++ b/internal/home/pool.go
@@ -306,7 +306,7 @@
 	p.runs[r.id] = r
 	p.apply(p.machine.Request(p.now(), r.id, r.start.Customer, p.deadline(r)))
 	p.mu.Unlock()
-	if err := p.await(r); err != nil {
+	if err := p.await(r, r.cancelled); err != nil {
 		p.leave(r)
 		return err
 	}
@@ -329,12 +329,12 @@
 // deadline is the deadline of a stream on the clock of the state machine.
 func (p *pool) deadline(r *run) time.Duration { return r.deadline.Sub(p.start) }
 
-// await waits for a decision of the queue.
-func (p *pool) await(r *run) error {
+// await waits for a decision of the queue, or for cancelled to be closed.
+func (p *pool) await(r *run, cancelled <-chan struct{}) error {
 	select {
 	case g := <-r.granted:
 		return g.err
-	case <-r.cancelled:
+	case <-cancelled:
 		return r.notSent(verdict.Cancelled, "cancelled in the queue")
 	case <-r.timer.C:
 		return r.notSent(verdict.DeadlineExceeded, "deadline passed in the queue")
@@ -359,7 +359,7 @@
 	p.mu.Lock()
 	p.apply(p.machine.Resume(p.now(), r.id, p.deadline(r)))
 	p.mu.Unlock()
-	if err := p.await(r); err != nil {
+	if err := p.await(r, nil); err != nil {
 		return err
 	}
 	r.slot = true
@@ -380,7 +380,7 @@
 // abandon closes the connection of a stream and cancels what runs on it, because
 // the backend server notices the end only between statements.
 func (p *pool) abandon(r *run) {
-	r.running(false)
+	r.enter(phaseIdle)
 	c := r.conn
 	ending := c.end()
 	c.attach(nil)
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -150,6 +150,7 @@
 	if err := r.p.acquire(r); err != nil {
 		return err
 	}
+	r.enter(phaseStarting)
 	err := errConnectionEnded
 	if r.conn.attach(r) {
 		err = r.transact()
@@ -175,10 +176,10 @@
 			return
 		}
 		if m.GetCancel() {
-			r.cancelOnce.Do(func() { close(r.cancelled) })
-			r.cancelRunning()
+			r.cancelRequest()
 			continue
 		}
+		r.requested()
 		select {
 		case r.in <- m:
 		case <-r.done:
@@ -301,7 +302,7 @@
 	}
 	wasIdle := !r.inTx
 	r.inTx, r.dirty = status != txIdle, false
-	r.running(false)
+	r.enter(phaseIdle)
 	r.p.yield(r)
 	if err := r.withheldError(wasIdle, status); err != nil {
 		return err
@@ -438,6 +439,7 @@
 		r.timer.Reset(r.timeout)
 	}
 	if !r.slot {
+		r.enter(phaseStarting)
 		if err := r.p.resume(r); err != nil {
 			return err
 		}
@@ -470,8 +472,9 @@
 		out = append(r.prefix.bytes[:len(r.prefix.bytes):len(r.prefix.bytes)], out...)
 	}
 	r.prefix = batchPrefix{}
-	r.running(true)
-	return r.send(out, answers)
+	err = r.send(out, answers)
+	r.enter(phaseRunning)
+	return err
 }
 
 // prepare returns the messages that prepare the statements the batch needs.
--- a/internal/home/sink.go
+++ b/internal/home/sink.go
@@ -48,13 +48,6 @@
 	withheld *pgproto3.ErrorResponse
 }
 
-// activity says whether a batch runs on the backend server. It has a lock of its
-// own, because a send to a slow entry host must not delay a cancel request.
-type activity struct {
-	sync.Mutex
-	running bool
-}
-
 // beginBatch clears the state of the previous batch.
 func (r *run) beginBatch() {
 	r.mu.Lock()
@@ -77,13 +70,6 @@
 	r.mu.Unlock()
 }
 
-// running notes whether a batch runs on the backend server.
-func (r *run) running(on bool) {
-	r.activity.Lock()
-	r.activity.running = on
-	r.activity.Unlock()
-}
-
 // needsConfirmation reports whether the batch may have written and completed
 // anything but rollbacks.
 func (r *run) needsConfirmation() bool {
