--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -48,8 +48,9 @@
 	OnEvicted func(server string)
 }
 
-// openers is the number of connections that one host opens at the same time.
-const openers = 32
+// openers is the number of connections that one host opens at the same time. An
+// unreachable server occupies up to 4 of them, which must not hold up others.
+const openers = 128
 
 // Home serves the backend servers whose home role this host holds.
 type Home struct {
@@ -172,12 +173,12 @@
 }
 
 // pool returns the pool of a server whose role is held.
-func (h *Home) pool(server string) (*pool, error) {
+func (h *Home) pool(group, server string) (*pool, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p, ok := h.pools[server]
-	if !ok {
-		return nil, verdict.New(verdict.NotRun, verdict.WrongHome, "%s is not the home host of %s", h.opt.Host, server)
+	if !ok || p.group != group {
+		return nil, verdict.New(verdict.NotRun, verdict.WrongHome, "%s is not the home host of %s in group %s", h.opt.Host, server, group)
 	}
 	return p, nil
 }
@@ -198,7 +199,7 @@
 	if start == nil {
 		return sendFailure(s, verdict.New(verdict.NotRun, verdict.ProtocolViolation, "stream without start"))
 	}
-	p, err := h.pool(start.Server)
+	p, err := h.pool(start.Group, start.Server)
 	if err != nil {
 		h.opt.Counters.Refused(verdict.From(err).Reason)
 		return sendFailure(s, verdict.From(err))
--- a/internal/owner/monitor.go
+++ b/internal/owner/monitor.go
@@ -13,14 +13,16 @@
 // monitorIdle is the time after which an unused monitor connection is closed.
 const monitorIdle = 5 * time.Second
 
-// monitor polls one database over one connection. Fence, promote and follow use
-// a connection of their own, because the polling one may have gone silent.
+// monitor polls one database over one connection. Fence, promote and follow take
+// that connection while no poll is in flight, since the database may have none
+// left, and open one of their own otherwise.
 type monitor struct {
 	address     string
 	application string
 	dial        func(ctx context.Context, address, application string) (Database, error)
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// db is the open connection that nobody uses at the moment.
 	db     Database
 	usedAt time.Duration
 	closed bool
@@ -34,50 +36,63 @@
 	if m == nil {
 		return dbconn.Status{}, errRemoved
 	}
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	m.mu.Lock()
+	m.usedAt = now
+	m.mu.Unlock()
+	var st dbconn.Status
+	err := m.use(ctx, statusTimeout, func(ctx context.Context, db Database) (err error) {
+		st, err = db.Status(ctx)
+		return err
+	})
+	return st, err
+}
+
+// use makes a call over the open connection, or over a new one when that is in
+// use. A connection whose answer failed or is overdue is never reused.
+func (m *monitor) use(ctx context.Context, timeout time.Duration, call func(context.Context, Database) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	m.mu.Lock()
 	db := m.db
-	m.usedAt = now
+	m.db = nil
 	m.mu.Unlock()
 	if db == nil {
 		var err error
 		if db, err = m.dial(ctx, m.address, m.application); err != nil {
-			return dbconn.Status{}, err
-		}
-		m.mu.Lock()
-		if m.closed {
-			m.mu.Unlock()
-			_ = db.Close()
-			return dbconn.Status{}, context.Canceled
+			return err
 		}
-		m.db = db
-		m.mu.Unlock()
 	}
-	st, err := db.Status(ctx)
-	if err != nil {
-		m.drop(db)
+	if err := call(ctx, db); err != nil {
+		_ = db.Close()
+		return err
 	}
-	return st, err
+	m.put(db)
+	return nil
 }
 
-// drop closes a connection whose answer failed or is overdue; it is never reused.
-func (m *monitor) drop(db Database) {
+// put keeps a connection for the next call, if there is none yet.
+func (m *monitor) put(db Database) {
 	m.mu.Lock()
-	if m.db == db {
-		m.db = nil
+	keep := m.db == nil && !m.closed
+	if keep {
+		m.db = db
 	}
 	m.mu.Unlock()
-	_ = db.Close()
+	if !keep {
+		_ = db.Close()
+	}
 }
 
 func (m *monitor) closeIdle(now time.Duration) {
 	m.mu.Lock()
 	db := m.db
 	idle := db != nil && now-m.usedAt > monitorIdle
+	if idle {
+		m.db = nil
+	}
 	m.mu.Unlock()
 	if idle {
-		m.drop(db)
+		_ = db.Close()
 	}
 }
 
@@ -103,12 +118,5 @@
 	if m == nil {
 		return errRemoved
 	}
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	db, err := m.dial(ctx, m.address, m.application)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = db.Close() }()
-	return call(ctx, db)
+	return m.use(ctx, controlTimeout, call)
 }
