Survive an answer that arrives after its stream was given up

Cause: a connection that is given up with an answer outstanding has no receiver until it is closed. A command tag, an error or a copy response that arrived in that time called the missing receiver, and the host crashed. Change: the reader ends such a connection, as it did for relayed rows.

--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -397,6 +397,9 @@
 	r.final, r.rows = false, 0
 }
 
+// errNoReceiver reports the answer to a batch whose stream has ended.
+var errNoReceiver = errors.New("answer without receiver")
+
 // passes reports whether a message is relayed without being looked at.
 func (r *reader) passes(kind byte) bool {
 	if !r.open || r.answer.kind != answerBatch {
@@ -416,6 +419,11 @@
 
 // inspect handles one whole message. It consumes it.
 func (r *reader) inspect(kind byte, body []byte, size int) error {
+	// An answer can arrive after its stream was given up and before the
+	// connection is closed.
+	if r.open && r.answer.kind == answerBatch && r.sink == nil {
+		return errNoReceiver
+	}
 	if kind == msgError {
 		return r.inspectError(body, size)
 	}
@@ -567,9 +575,6 @@
 		c.owner.clean(c)
 	case answerBatch:
 		c.statements.forget(a.parsing[a.parsed:])
-		if s == nil {
-			return errors.New("answer without receiver")
-		}
 		s.ready(txStatus)
 	}
 	return nil
@@ -593,7 +598,7 @@
 	chunk := r.buf[r.from:r.at]
 	r.from = r.at
 	if r.sink == nil {
-		return errors.New("answer without receiver")
+		return errNoReceiver
 	}
 	return r.sink.relay(chunk, r.final)
 }
