--- a/internal/bench/noisy.go
+++ b/internal/bench/noisy.go
@@ -125,6 +125,16 @@
 	return most
 }
 
+// refusedConnections counts the connections that databases refused because their
+// limit was reached.
+func refusedConnections(c *cluster.Cluster) int {
+	sum := 0
+	for _, db := range c.Databases {
+		sum += db.Record().Refused
+	}
+	return sum
+}
+
 // noisyCustomer returns the customer that exceeds its rate: the first one, which
 // is one of the large ones.
 func noisyCustomer(doc *config.Document) string { return doc.Inventory.Customers[0].Name }
--- a/internal/bench/zone.go
+++ b/internal/bench/zone.go
@@ -391,6 +391,7 @@
 	r.add("control_bytes_per_host_per_s", z.controlBytes)
 	r.add("control_cpu_share_per_host", z.controlCPU)
 	r.none("admitted_over_limit", over)
+	r.add("connections_refused_by_databases", refusedConnections(z.c))
 	r.add("requests", len(samples))
 	r.add("states", states)
 	r.addFindings(z.load.History.Check(held))
