--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -417,6 +417,9 @@
 	r.final, r.rows = false, 0
 }
 
+// errNoReceiver reports the answer to a batch whose stream has ended.
+var errNoReceiver = errors.New("answer without receiver")
+
 // passes reports whether a message is relayed without being looked at.
 func (r *reader) passes(kind byte) bool {
 	if !r.open || r.answer.kind != answerBatch {
@@ -436,6 +439,11 @@
 
 // inspect handles one whole message. It consumes it.
 func (r *reader) inspect(kind byte, body []byte, size int) error {
+	// An answer can arrive after its stream was given up and before the
+	// connection is closed.
+	if r.open && r.answer.kind == answerBatch && r.sink == nil {
+		return errNoReceiver
+	}
 	if kind == msgError {
 		return r.inspectError(body, size)
 	}
@@ -613,6 +621,9 @@
 	}
 	chunk := r.buf[r.from:r.at]
 	r.from = r.at
+	if r.sink == nil {
+		return errNoReceiver
+	}
 	return r.sink.relay(chunk, r.final)
 }
 
