--- a/internal/owner/monitor.go
+++ b/internal/owner/monitor.go
@@ -11,9 +11,12 @@
 )
 
 // monitorIdle is the time after which an unused monitor connection is closed.
-const monitorIdle = 5 * time.Second
+const monitorIdle = time.Second
 
-// monitor polls one database over one connection. Fence, promote and follow use
+// monitor polls one database. Four connections of a database are reserved for
+// the monitors of all hosts and for the first calls of a new home host. Only
+// the home host and the owner keep one open; a host that probes a primary under
+// suspicion closes its connection after each poll. Fence, promote and follow use
 // a connection of their own, because the polling one may have gone silent.
 type monitor struct {
 	address     string
@@ -29,8 +32,9 @@
 // errRemoved reports a server that the inventory no longer lists.
 var errRemoved = errors.New("owner: server is not in the inventory")
 
-// status polls the database. The machine has one poll in flight at a time.
-func (m *monitor) status(ctx context.Context, now time.Duration) (dbconn.Status, error) {
+// status polls the database and keeps the connection if asked to. The machine
+// has one poll in flight at a time.
+func (m *monitor) status(ctx context.Context, now time.Duration, keep bool) (dbconn.Status, error) {
 	if m == nil {
 		return dbconn.Status{}, errRemoved
 	}
@@ -55,7 +59,7 @@
 		m.mu.Unlock()
 	}
 	st, err := db.Status(ctx)
-	if err != nil {
+	if err != nil || !keep {
 		m.drop(db)
 	}
 	return st, err
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -40,6 +40,8 @@
 	down   bool
 	// silent databases take calls and never answer.
 	silent bool
+	// open counts the monitor connections by host.
+	open map[string]int
 }
 
 type host struct {
@@ -69,7 +71,7 @@
 	w := &world{rows: map[string]platform.Row{}, dbs: map[string]*fakeDB{}, hosts: map[string]*host{}, polled: map[string]int{}}
 	g := config.Group{Name: "g", Durability: config.DurabilityReplicated}
 	for _, n := range names {
-		w.dbs[n] = &fakeDB{status: dbconn.Status{Server: n, Term: 1, Role: dbconn.Replica, Position: 10}}
+		w.dbs[n] = &fakeDB{status: dbconn.Status{Server: n, Term: 1, Role: dbconn.Replica, Position: 10}, open: map[string]int{}}
 		g.Servers = append(g.Servers, config.Server{Name: n, Zone: "z" + n, Address: n})
 	}
 	dial := w.dial
@@ -246,10 +248,12 @@
 	if w.dbs[address].down {
 		return nil, errors.New("connection refused")
 	}
+	w.dbs[address].open[application]++
 	return &fakeConn{w, address, application}, nil
 }
 
 func (c *fakeConn) Close() error {
+	c.w.set(func() { c.w.dbs[c.name].open[c.application]-- })
 	return nil
 }
 
@@ -376,6 +380,8 @@
 	time.Sleep(200 * time.Millisecond)
 	w.set(func() {
 		assert.Equal(t, w.polled["b by cranberryhinge/hc/monitor"], 0, "only homes and the owner may poll")
+		assert.Equal(t, w.dbs["b"].open["cranberryhinge/hc/monitor"], 0, "only homes and the owner may keep a connection")
+		assert.Equal(t, w.dbs["c"].open["cranberryhinge/hc/monitor"], 1)
 		n := w.polled["c by cranberryhinge/hc/monitor"]
 		assert.Assert(t, n > 0 && n < 8, "%d polls of the own database in 5 intervals", n)
 	})
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -67,6 +67,7 @@
 	monitors map[string]*monitor
 	waiters  []*waiter
 	home     bool
+	homes    map[string]bool // the servers that this host is home of
 	usedAt   time.Duration
 	wantedAt time.Duration
 	backoff  time.Duration
@@ -143,6 +144,10 @@
 	if home {
 		r.usedAt = r.o.now()
 	}
+	r.homes = map[string]bool{}
+	for _, s := range servers {
+		r.homes[s.Name] = s.Home.Name == r.o.self.Name
+	}
 	listed := map[string]bool{}
 	for _, s := range g.Servers {
 		listed[s.Name] = true
@@ -354,9 +359,9 @@
 	case group.Ask:
 		r.background(func(ctx context.Context) group.Input { return r.ask(ctx, v) })
 	case group.Poll:
-		m := r.monitors[v.Server]
+		m, keep := r.monitors[v.Server], r.machine.Owns() || r.homes[v.Server]
 		r.background(func(ctx context.Context) group.Input {
-			st, err := m.status(ctx, r.o.now())
+			st, err := m.status(ctx, r.o.now(), keep)
 			return group.StatusAnswer{Server: v.Server, Sent: v.Sent, Status: st, Err: err}
 		})
 	case group.Fence:
