--- a/internal/owner/monitor.go
+++ b/internal/owner/monitor.go
@@ -11,11 +11,14 @@
 )
 
 // monitorIdle is the time after which an unused monitor connection is closed.
-const monitorIdle = 5 * time.Second
+const monitorIdle = time.Second
 
-// monitor polls one database over one connection. Fence, promote and follow take
-// that connection while no poll is in flight, since the database may have none
-// left, and open one of their own otherwise.
+// monitor polls one database. Four connections of a database are reserved for
+// the monitors of all hosts and for the first calls of a new home host. Only
+// the home host and the owner keep one open; a host that probes a primary under
+// suspicion closes its connection after each poll. Fence, promote and follow
+// take the open connection while no poll is in flight, since the database may
+// have none left, and open one of their own otherwise.
 type monitor struct {
 	address     string
 	application string
@@ -31,8 +34,9 @@
 // errRemoved reports a server that the inventory no longer lists.
 var errRemoved = errors.New("owner: server is not in the inventory")
 
-// status polls the database. The machine has one poll in flight at a time.
-func (m *monitor) status(ctx context.Context, now time.Duration) (dbconn.Status, error) {
+// status polls the database and keeps the connection if asked to. The machine
+// has one poll in flight at a time.
+func (m *monitor) status(ctx context.Context, now time.Duration, keep bool) (dbconn.Status, error) {
 	if m == nil {
 		return dbconn.Status{}, errRemoved
 	}
@@ -40,7 +44,7 @@
 	m.usedAt = now
 	m.mu.Unlock()
 	var st dbconn.Status
-	err := m.use(ctx, statusTimeout, func(ctx context.Context, db Database) (err error) {
+	err := m.use(ctx, statusTimeout, keep, func(ctx context.Context, db Database) (err error) {
 		st, err = db.Status(ctx)
 		return err
 	})
@@ -48,8 +52,8 @@
 }
 
 // use makes a call over the open connection, or over a new one when that is in
-// use. A connection whose answer failed or is overdue is never reused.
-func (m *monitor) use(ctx context.Context, timeout time.Duration, call func(context.Context, Database) error) error {
+// use, and keeps the connection afterwards if asked to. A connection whose answer failed or is overdue is never reused.
+func (m *monitor) use(ctx context.Context, timeout time.Duration, keep bool, call func(context.Context, Database) error) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	m.mu.Lock()
@@ -66,6 +70,9 @@
 		_ = db.Close()
 		return err
 	}
+	if !keep {
+		return db.Close()
+	}
 	m.put(db)
 	return nil
 }
@@ -118,5 +125,5 @@
 	if m == nil {
 		return errRemoved
 	}
-	return m.use(ctx, controlTimeout, call)
+	return m.use(ctx, controlTimeout, false, call)
 }
