--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -190,7 +190,7 @@
 	}
 }
 
-// open connections of the pool at this moment.
+// openConns returns the connections that are open at this moment.
 func (p *pool) openConns() []*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
