--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+)
+
+// benchSizes are the numbers of hosts and backend servers of the benchmarks.
+var benchSizes = []struct{ hosts, zones, servers int }{{9, 4, 9}, {50, 4, 87}, {150, 5, 260}, {490, 10, 850}}
+
+// settled returns a fleet that has been running for a while.
+func settled(b *testing.B, hosts, zones, servers int) *sim {
+	b.Helper()
+	s := newSim(1, zones, hosts, guards{})
+	s.unchecked, s.servers, s.latency = true, servers, 2*time.Millisecond
+	s.tickEvery = 100 * time.Millisecond
+	s.advance(8 * time.Second)
+	s.publish(s.hosts[0], 1, 0, s.document("v1"))
+	s.advance(20 * time.Second)
+	if s.hosts[hosts-1].f.version() != 1 {
+		b.Fatal("the fleet has no configuration")
+	}
+	return s
+}
+
+// BenchmarkExchange measures one whole exchange: the request, both encodings,
+// the answer and the merge. The full variant sends every attestation in full,
+// as an exchange without digests does.
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range benchSizes {
+		s := settled(b, n.hosts, n.zones, n.servers)
+		for _, full := range []bool{false, true} {
+			b.Run(fmt.Sprintf("hosts=%d/full=%v", n.hosts, full), func(b *testing.B) {
+				x, y := s.hosts[0], s.hosts[1]
+				size := 0
+				for b.Loop() {
+					now := x.clock(s.now)
+					req := x.f.request(now)
+					x.f.nextCall++
+					x.f.pendingCalls[x.f.nextCall] = peerCall{peer: y.name, sent: now, digests: req.GetDigests()}
+					if full {
+						req.Digests = nil
+					}
+					got, sent := &peerpb.Vector{}, wire(b, req)
+					must(b, proto.Unmarshal(sent, got))
+					res, _ := y.f.Receive(y.clock(s.now), got)
+					back := wire(b, res)
+					got = &peerpb.Vector{}
+					must(b, proto.Unmarshal(back, got))
+					x.f.exchangeDone(now, ExchangeDone{Call: x.f.nextCall, Vector: got})
+					size = len(sent) + len(back)
+				}
+				b.ReportMetric(float64(size), "wireB/op")
+			})
+		}
+	}
+}
+
+func wire(b *testing.B, m proto.Message) []byte {
+	data, err := proto.Marshal(m)
+	must(b, err)
+	return data
+}
+
+func must(b *testing.B, err error) {
+	if err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkMinute runs a simulated minute and reports the store calls of the
+// whole fleet, the heartbeat bytes that one host sends and receives, the CPU of
+// one host's aggregate, and the oldest statement at any host. The CPU includes
+// the model's own and is an upper bound.
+func BenchmarkMinute(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("hosts=%d", n.hosts), func(b *testing.B) {
+			for b.Loop() {
+				s := settled(b, n.hosts, n.zones, n.servers)
+				s.reads, s.writes, s.rowsRead, s.exchanges, s.exchangeBytes, s.fullEntries = 0, 0, 0, 0, 0, 0
+				var oldest, zoneOldest, confirmed time.Duration
+				begin := time.Now()
+				for range 60 {
+					s.advance(time.Second)
+					for _, h := range s.hosts {
+						now := h.clock(s.now)
+						at, _ := h.f.attested(now)
+						oldest = max(oldest, now-at)
+						for _, r := range h.f.order {
+							if r.zone == h.zone && r != h.f.me {
+								zoneOldest = max(zoneOldest, now-r.statedAt)
+							}
+						}
+						confirmed = max(confirmed, now-h.f.conf.confirmed.at)
+					}
+				}
+				cpu := time.Since(begin)
+				perSecond := func(n int) float64 { return float64(n) / 60 }
+				b.ReportMetric(perSecond(s.reads), "reads/s")
+				b.ReportMetric(perSecond(s.rowsRead), "rows/s")
+				b.ReportMetric(perSecond(s.writes), "writes/s")
+				// Each exchange is sent by one host and received by another.
+				b.ReportMetric(2*perSecond(s.exchangeBytes)/float64(n.hosts), "wireB/s/host")
+				b.ReportMetric(2*perSecond(s.exchanges)/float64(n.hosts), "exchanges/s/host")
+				b.ReportMetric(perSecond(s.fullEntries)/float64(n.hosts), "full/s/host")
+				b.ReportMetric(cpu.Seconds()/60/float64(n.hosts)*100, "%core/host")
+				b.ReportMetric(float64(oldest.Milliseconds()), "oldest-ms")
+				b.ReportMetric(float64(zoneOldest.Milliseconds()), "zone-oldest-ms")
+				b.ReportMetric(float64(confirmed.Milliseconds()), "confirmed-ms")
+			}
+		})
+	}
+}
+
+// BenchmarkMemory reports the heap of one host's aggregate.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("hosts=%d", n.hosts), func(b *testing.B) {
+			for b.Loop() {
+				s := settled(b, n.hosts, n.zones, n.servers)
+				h := s.hosts[0]
+				h.f.conf.document = nil // shared by the hosts of the model
+				before := heap0()
+				h.f = nil
+				b.ReportMetric(float64(before-heap0())/1024, "KB")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+func heap0() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -314,6 +314,41 @@
 	return s.oracle.fault
 }
 
+// longTransit pauses a host while answers to its exchanges are on their way, and
+// lets the others accept a version before it takes them.
+func longTransit(g guards) string {
+	s := started(1, g)
+	h := s.hosts[1]
+	for len(h.f.pendingCalls) == 0 {
+		s.advance(time.Millisecond / 10)
+	}
+	s.pause(h)
+	s.publish(s.hosts[0], 2, 1, s.document("v2"))
+	s.advance(8 * time.Second)
+	s.resume(h)
+	return s.oracle.fault
+}
+
+// lostAnswer loses the answer to the compare-and-swap of the pointer.
+func lostAnswer(g guards) string {
+	for seed := uint64(1); seed <= 5; seed++ { // in some runs the effect is late
+		s := started(seed, g)
+		p := s.hosts[1]
+		s.publish(p, 2, 1, s.document("v2"))
+		for p.f.publish.state != publishSwaps || !p.f.duties[DutyPublish].busy {
+			s.advance(time.Millisecond / 10)
+		}
+		s.loseAnswers = 100
+		s.advance(10 * time.Millisecond)
+		s.loseAnswers = 0
+		s.advance(8 * time.Second)
+		if s.oracle.fault != "" {
+			return s.oracle.fault
+		}
+	}
+	return ""
+}
+
 // cutOff lets the rest of the fleet accept a version while a zone is cut off.
 func cutOff(g guards) string {
 	g.noWitness, g.noMajority = true, true
@@ -352,9 +387,9 @@
 		{"lease from request", guards{leaseFromAnswer: true}, lateAnswer, "both hold"},
 		{"promise", guards{noPromise: true}, randomFrom(1), "both hold"},
 		{"quiet period", guards{noQuietPeriod: true}, restartedMate, "both hold"},
-		{"transit", guards{noTransit: true}, randomFrom(33), "are in use"},
+		{"transit", guards{noTransit: true}, longTransit, "are in use"},
 		{"base version", guards{noBaseCheck: true}, randomFrom(1), "overwrote"},
-		{"read back", guards{noReadBack: true}, randomFrom(40), "was reported as"},
+		{"read back", guards{noReadBack: true}, lostAnswer, "was reported as"},
 		{"versions grow", guards{versionsMayFall: true}, oldAnswer, "version fell"},
 		{"witness", guards{noWitness: true}, loner, "are in use"},
 		{"informed", guards{noInformed: true}, forgetful(true), "are in use"},
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -36,10 +36,12 @@
 	cut         map[[2]string]bool // from, to; "store" is a node
 	tickEvery   time.Duration
 	guards      guards
+	servers     int  // backend servers of a document; 0 means one per host
+	unchecked   bool // the oracle does not look, for large fleets
 
 	oracle oracle
 
-	reads, writes, rowsRead, exchangeBytes, exchanges int
+	reads, writes, rowsRead, exchangeBytes, exchanges, fullEntries int
 }
 
 type simHost struct {
@@ -114,12 +116,15 @@
 	})
 	h.f.guards = s.guards
 	s.oracle.booted(h)
-	var list []platform.ListedHost
-	for _, p := range s.hosts {
-		list = append(list, platform.ListedHost{Name: p.name, Address: "addr-" + p.name, Zone: p.zone})
-	}
-	s.input(h, HostsListed{list})
-	s.ticks(h, h.gen)
+	gen := h.gen
+	s.after(0, func() {
+		var list []platform.ListedHost
+		for _, p := range s.hosts {
+			list = append(list, platform.ListedHost{Name: p.name, Address: "addr-" + p.name, Zone: p.zone})
+		}
+		s.deliver(h, gen, func() { s.input(h, HostsListed{list}) })
+	})
+	s.ticks(h, gen)
 }
 
 func (s *sim) ticks(h *simHost, gen int) {
@@ -170,7 +175,9 @@
 			h.down = true
 		}
 	}
-	s.oracle.observe(s, h)
+	if !s.unchecked {
+		s.oracle.observe(s, h)
+	}
 }
 
 func (s *sim) delay() time.Duration {
@@ -305,6 +312,7 @@
 		v, acts := p.f.Receive(p.clock(s.now), req)
 		s.run(p, acts)
 		s.exchangeBytes += proto.Size(v)
+		s.fullEntries += len(v.GetHosts())
 		return func() { s.input(h, ExchangeDone{Call: a.Call, Vector: v}) }
 	}, func(refused bool) { s.input(h, ExchangeDone{Call: a.Call, Refused: refused}) })
 }
@@ -380,12 +388,15 @@
 func (s *sim) document(tag string, out ...string) *config.Document {
 	d := &config.Document{Rules: config.Rules{ZonesOut: out, KeyGrace: config.DefaultKeyGrace}}
 	zones := map[string]bool{}
-	for i, h := range s.hosts {
+	for _, h := range s.hosts {
 		if !zones[h.zone] {
 			zones[h.zone] = true
 			d.Inventory.Zones = append(d.Inventory.Zones, config.Zone{Name: h.zone})
 		}
 		d.Inventory.Hosts = append(d.Inventory.Hosts, config.Host{Name: h.name, Zone: h.zone})
+	}
+	for i := range max(s.servers, len(s.hosts)) {
+		h := s.hosts[i%len(s.hosts)]
 		d.Inventory.Groups = append(d.Inventory.Groups, config.Group{
 			Name: fmt.Sprintf("g%d", i), Servers: []config.Server{{Name: fmt.Sprintf("db%03d", i), Zone: h.zone}},
 		})
--- a/internal/fleet/timing.go
+++ b/internal/fleet/timing.go
@@ -76,12 +76,13 @@
 }
 
 // beat returns the interval of the heartbeat exchange and the number of peers
-// asked each time.
+// asked each time. With 2 peers every 500 ms the oldest statement at 490 hosts
+// was 5.0 s old in a simulated minute, which is no less than key_grace.
 func beat(hosts int) (time.Duration, int) {
 	if hosts <= 100 {
 		return 250 * time.Millisecond, 3
 	}
-	return 500 * time.Millisecond, 2
+	return 500 * time.Millisecond, 3
 }
 
 // liveAge is the age of the newest statement up to which a host counts as live
--- a/internal/fleet/vector.go
+++ b/internal/fleet/vector.go
@@ -21,13 +21,16 @@
 const (
 	// hostsPerBucket balances the size of the digests against the cost of one
 	// differing bucket.
-	hostsPerBucket = 16
+	hostsPerBucket = 32
 	maxBuckets     = 256
 	// noAge stands for a host of which no statement is known, in ageUnit.
 	noAge = 1 << 17
 	// ageUnit lets an age of up to 8 s and its flags fit into two bytes.
 	ageUnit = 8 * time.Millisecond
 
+	// zoneTries bounds the draws for a peer of the own zone.
+	zoneTries = 30
+
 	promiseFlag  = 1
 	leasedFlag   = 2
 	currentFlag  = 4
@@ -117,7 +120,9 @@
 	return out
 }
 
-// startExchanges starts the exchanges that are due. Peers are chosen at random.
+// startExchanges starts the exchanges that are due. Peers are chosen at random;
+// the first is of the own zone if there is one, because minters need recent
+// promises of their zone mates.
 func (f *Fleet) startExchanges(now time.Duration) {
 	interval, fanout := beat(f.hosts())
 	if now < f.beatAt {
@@ -130,8 +135,11 @@
 			candidates = append(candidates, r)
 		}
 	}
-	for range min(fanout, len(candidates)) {
+	for n := range min(fanout, len(candidates)) {
 		i := f.rng.IntN(len(candidates))
+		for tries := 0; n == 0 && tries < zoneTries && candidates[i].zone != f.self.Zone; tries++ {
+			i = f.rng.IntN(len(candidates))
+		}
 		r := candidates[i]
 		candidates[i] = candidates[len(candidates)-1]
 		candidates = candidates[:len(candidates)-1]
