Cancel streams to hosts that do not answer heartbeats

Cause: a write that had been sent to a frozen home host waited for its whole deadline of 8 s, so that the first write came 11.5 to 12.9 s after the owner had frozen. Over silent backend connections no write succeeded within 60 s, because the test relay kept them open towards the database for ever, above its limit. Change: Run streams to an unreachable host are cancelled and reported as may have run; questions for a position are repeated until their deadline; planned promotions wait for open transactions; the relay's target drops silent connections after 4 s, as TCP keep-alive does. Process tests wait until every host serves, and use IP addresses of their own.

--- a/cmd/cranberryhinge/main_test.go
+++ b/cmd/cranberryhinge/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -75,12 +77,17 @@
 	return string(out), cmd.ProcessState.ExitCode()
 }
 
-// freeAddresses returns loopback addresses that nothing listens on.
+var deployments atomic.Int32
+
+// freeAddresses returns loopback addresses that nothing listens on. Each call
+// uses an IP address of its own, since the ports are free again until the
+// processes take them.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
+	ip := fmt.Sprintf("127.77.%d.%d", os.Getpid()%250+1, deployments.Add(1))
 	var addresses []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		assert.NilError(t, err)
 		defer l.Close()
 		addresses = append(addresses, l.Addr().String())
@@ -127,9 +134,21 @@
 	}
 	t.Cleanup(func() { d.dumpMetrics(t) })
 	d.apply(t)
+	d.waitReady(t)
 	return d
 }
 
+// waitReady waits until every host serves callers.
+func (d *deployment) waitReady(t *testing.T) {
+	t.Helper()
+	ctx := testContext(t, 15*time.Second)
+	for i := range d.hosts {
+		if _, err := d.get(ctx, t, i, "none"); err != nil && !errors.Is(err, pgx.ErrNoRows) {
+			t.Fatalf("host %d is not ready: %v", i, err)
+		}
+	}
+}
+
 // relayed puts a relay in front of each database. The databases reach each other
 // directly.
 func (d *deployment) relayed(t *testing.T, dbs []string) []string {
@@ -252,7 +271,6 @@
 		if out, code = runProgram(t, "apply", "--host", d.peers[0], d.dir); code == 0 {
 			return
 		}
-		t.Log(out)
 		time.Sleep(50 * time.Millisecond)
 	}
 	t.Fatalf("apply: %s", out)
@@ -311,8 +329,8 @@
 	var last error
 	for ctx.Err() == nil {
 		value, err := d.getOnce(ctx, t, host, key)
-		if err == nil {
-			return value, nil
+		if err == nil || errors.Is(err, pgx.ErrNoRows) {
+			return value, err
 		}
 		last = err
 		time.Sleep(50 * time.Millisecond)
--- a/internal/faultnet/faultnet.go
+++ b/internal/faultnet/faultnet.go
@@ -89,13 +89,20 @@
 	}
 }
 
+// targetKeepAlive is the time after which the target of a silenced connection
+// drops it, as a server with TCP keep-alive does. Without that a server would
+// count silent connections against its limit for ever.
+const targetKeepAlive = 4 * time.Second
+
 // SilenceOpen makes the open connections silent for good, in both directions.
-// New connections work.
+// New connections work. The targets drop the silent ones after targetKeepAlive;
+// the clients are not told.
 func (r *Relay) SilenceOpen() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p := range r.pairs {
 		p.lostToTarget, p.lostToClient = true, true
+		time.AfterFunc(targetKeepAlive, func() { _ = p.server.Close() })
 	}
 }
 
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -149,6 +149,16 @@
 	return pools
 }
 
+// Busy reports whether a transaction runs on a backend server.
+func (h *Home) Busy(server string) bool {
+	for _, p := range h.livePools(server) {
+		if p.busy() {
+			return true
+		}
+	}
+	return false
+}
+
 // Connections returns the number of open connections to a server, including
 // those of a role that was released and still drains.
 func (h *Home) Connections(server string) int {
--- a/internal/home/pool.go
+++ b/internal/home/pool.go
@@ -282,6 +282,18 @@
 	p.checkDrained()
 }
 
+// busy reports whether a stream holds a connection.
+func (p *pool) busy() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.runs {
+		if r.conn != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // evicted stops the pool, because another home host took the server over. The
 // server is served again after the next Hold.
 func (p *pool) evicted() {
--- a/internal/server/directory.go
+++ b/internal/server/directory.go
@@ -25,6 +25,8 @@
 	// primaryRetry is the interval of questions while the primary is unknown or
 	// under suspicion.
 	primaryRetry = 100 * time.Millisecond
+	// positionRetry is the pause between rounds of questions for a position.
+	positionRetry = 50 * time.Millisecond
 	// primaryTimeout bounds one round of questions about a primary.
 	primaryTimeout = 600 * time.Millisecond
 )
@@ -235,7 +237,23 @@
 var errNoPosition = errors.New("the group's owner did not answer")
 
 // Position implements entry.Positions: the owner asks its primary after the call.
+// It asks again until ctx ends, because ownership may be on its way to another
+// host.
 func (d *directory) Position(ctx context.Context, name string) (*peerpb.Token, error) {
+	for {
+		token, err := d.askPosition(ctx, name)
+		if err == nil {
+			return token, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(positionRetry):
+		}
+	}
+}
+
+func (d *directory) askPosition(ctx context.Context, name string) (*peerpb.Token, error) {
 	for _, h := range d.homesByOwnership(name) {
 		resp, err := d.positionFrom(ctx, h, name)
 		if err != nil {
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -19,6 +19,7 @@
 	pool    *peer.Pool
 	fleet   member.Fleet
 	suspect func(group string)
+	streams streams
 	local   func(peer.RunServerStream) error
 }
 
@@ -128,6 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx = p.streams.add(ctx, host.Name)
 	stream, err := c.Run(ctx)
 	if err != nil {
 		p.after(host.Address, err)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -61,6 +61,7 @@
 	directory *directory
 
 	pool      *peer.Pool
+	peers     *peers
 	grpc      *grpc.Server
 	listeners listeners
 	closers   []io.Closer
@@ -179,6 +180,7 @@
 		backend.Dial = func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }
 	}
 	calls := &peers{pool: s.pool}
+	s.peers = calls
 	s.member = member.New(member.Options{
 		Self:  member.Identity{Name: s.settings.Name, Zone: s.settings.Zone, Address: s.PeerAddress()},
 		Table: access.Tables, Objects: access.Objects, Hosts: access.Hosts,
@@ -188,11 +190,11 @@
 	calls.fleet = s.member
 	s.owner = owner.New(owner.Options{
 		Fleet: groupFleet{s.member}, Table: access.Tables, Peers: calls,
-		Credentials: backend, Counters: s.counters, Log: s.log,
+		Credentials: backend, Counters: s.counters, Log: s.log, Busy: s.busy,
 	})
 	s.home = home.New(home.Options{
 		Host: s.settings.Name, Credentials: backend, Authority: s.owner,
-		Log: s.log, Counters: s.counters,
+		Log: s.log, Counters: s.counters, OnEvicted: s.evicted,
 	})
 	calls.local = s.home.Serve
 	dir := newDirectory(s.member, calls)
@@ -228,6 +230,7 @@
 	group.Go(func() error { return s.owner.Run(shells) })
 	group.Go(func() error { return s.home.Run(shells) })
 	group.Go(func() error { return s.followRoles(shells) })
+	group.Go(func() error { return s.peers.streams.watch(shells, s.directory.Reachable) })
 	group.Go(func() error { return s.entry.Run(clients) })
 	group.Go(func() error { return s.servePeers() })
 	if s.listeners.admin != nil {
@@ -350,6 +353,15 @@
 	return nil
 }
 
+// busy reports whether the home shell runs transactions on the server.
+func (s *Server) busy(name string) bool { return s.home.Busy(name) }
+
+// evicted has the role rows read again, because another home host has taken a
+// server over. The home serves it again only while the role is still held.
+func (s *Server) evicted(string) {
+	go func() { _, _ = s.member.Handover(context.Background(), nil) }()
+}
+
 // Ready reports whether the balancer may send callers to this host.
 func (s *Server) Ready() bool {
 	doc := s.member.Document()
--- /dev/null
+++ b/internal/server/streams.go
@@ -0,0 +1,88 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// streamCheck is how often the hosts of open Run streams are checked.
+const streamCheck = 200 * time.Millisecond
+
+// streams are the open Run streams to other hosts. A frozen host or a silent
+// link leaves a stream open without an answer, so streams to a host that no
+// longer answers heartbeats are cancelled. The request may have run.
+type streams struct {
+	mu     sync.Mutex
+	nextID uint64
+	open   map[string]map[uint64]context.CancelFunc
+}
+
+// add returns the context of a new stream to the host. It must be derived from
+// a context that ends with the stream.
+func (s *streams) add(ctx context.Context, host string) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = map[string]map[uint64]context.CancelFunc{}
+	}
+	if s.open[host] == nil {
+		s.open[host] = map[uint64]context.CancelFunc{}
+	}
+	s.nextID++
+	id := s.nextID
+	s.open[host][id] = cancel
+	context.AfterFunc(ctx, func() { s.remove(host, id) })
+	return ctx
+}
+
+func (s *streams) remove(host string, id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cancel, ok := s.open[host][id]; ok {
+		cancel()
+		delete(s.open[host], id)
+	}
+	if len(s.open[host]) == 0 {
+		delete(s.open, host)
+	}
+}
+
+// cancelUnreachable cancels the streams to hosts that do not answer.
+func (s *streams) cancelUnreachable(reachable func(host string) bool) {
+	for host, cancels := range s.snapshot() {
+		if reachable(host) {
+			continue
+		}
+		for _, cancel := range cancels {
+			cancel()
+		}
+	}
+}
+
+func (s *streams) snapshot() map[string][]context.CancelFunc {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string][]context.CancelFunc, len(s.open))
+	for host, open := range s.open {
+		for _, cancel := range open {
+			all[host] = append(all[host], cancel)
+		}
+	}
+	return all
+}
+
+// watch checks until ctx ends.
+func (s *streams) watch(ctx context.Context, reachable func(host string) bool) error {
+	ticker := time.NewTicker(streamCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.cancelUnreachable(reachable)
+		}
+	}
+}
