Start no load-spreading hand-over of a role while the store fails

Cause: a hand-over puts the role out of use before the row changes. The lease outlives the start of a store outage by up to 3 s, so that hosts started moves in that time, and each such role stayed without a holder until the store returned. Change: moves that only spread load wait until no duty's last call failed. A move that starts in the first second of an outage, before any call has failed, still leaves its role out of use.

--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -347,7 +347,7 @@
 		} else if target == f.me {
 			continue
 		}
-		if !urgent && now < f.roles.movedAt+moveGap {
+		if !urgent && (now < f.roles.movedAt+moveGap || f.storeFails()) {
 			continue
 		}
 		if !urgent {
@@ -358,6 +358,18 @@
 	return nil
 }
 
+// storeFails reports whether the last call of any duty failed. A role whose
+// hand-over meets a store outage is out of use until the store returns, so that
+// no move starts then that only spreads load.
+func (f *Fleet) storeFails() bool {
+	for i := range f.duties {
+		if f.duties[i].failures > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // handoverTarget returns the host that should hold the role, nil for none.
 func (f *Fleet) handoverTarget(now time.Duration, r *role) (target *record, urgent bool) {
 	if !r.wanted {
