Ask a zone again soon after its minter role has moved

Cause: after the answer that a host does not hold a minter role, the zone was left out for 1 s, so that its share was out of reach while roles were spread over the hosts. Change: 50 ms after an answer, 1 s only after silence.

--- a/internal/customer/spender.go
+++ b/internal/customer/spender.go
@@ -19,8 +19,11 @@
 	MaxWait = 250 * time.Millisecond
 	// askTimeout gives up on a zone that does not answer.
 	askTimeout = 100 * time.Millisecond
-	// zoneRetryDelay keeps requests from waiting on a silent zone again at once.
-	zoneRetryDelay = time.Second
+	// silentRetryDelay keeps requests from waiting on a silent zone again at once.
+	silentRetryDelay = time.Second
+	// movedRetryDelay is the pause after an answer that the role has moved. The
+	// new holder is known within a heartbeat or two.
+	movedRetryDelay = 50 * time.Millisecond
 	// minPause bounds the number of asks of an empty fleet.
 	minPause = 5 * time.Millisecond
 )
@@ -165,12 +168,17 @@
 	return s.advance(now)
 }
 
-// Failed handles an Ask that a zone cannot answer.
-func (s *Spender) Failed(now time.Duration, ticket uint64) []Action {
+// Failed handles an Ask that a zone cannot answer. moved says that the zone
+// answered, but its role is elsewhere.
+func (s *Spender) Failed(now time.Duration, ticket uint64, moved bool) []Action {
 	if s.open == nil || s.open.ticket != ticket {
 		return nil
 	}
-	s.giveUp(now)
+	if moved {
+		s.giveUp(now + movedRetryDelay)
+	} else {
+		s.giveUp(now + silentRetryDelay)
+	}
 	return s.advance(now)
 }
 
@@ -199,9 +207,10 @@
 	return at, found
 }
 
-func (s *Spender) giveUp(now time.Duration) {
+// giveUp ends the open ask and leaves its zone out until the time.
+func (s *Spender) giveUp(until time.Duration) {
 	if z, ok := s.zones[s.open.zone]; ok {
-		z.silent = now + zoneRetryDelay
+		z.silent = until
 	}
 	s.open = nil
 }
@@ -210,7 +219,7 @@
 	var actions []Action
 	s.dropExpired(now)
 	if s.open != nil && now >= s.open.sent+askTimeout {
-		s.giveUp(now)
+		s.giveUp(now + silentRetryDelay)
 	}
 	actions = s.admit(actions)
 	actions = s.refuseOverdue(now, actions)
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -205,7 +205,7 @@
 		now := a.limiter.opts.Clock()
 		if err != nil || !resp.GetHolder() {
 			a.limiter.opts.Counters.Add("grant_asks_failed", 1)
-			a.perform(a.spender.Failed(now, ask.Ticket))
+			a.perform(a.spender.Failed(now, ask.Ticket, err == nil))
 			return
 		}
 		a.perform(a.spender.Granted(now, ask.Ticket, customer.GrantID(resp.GetGrant()), customer.Amount(resp.GetAmount()), customer.Amount(resp.GetLeft())))
