Floor of a session without a token: its own customer's commits

Cause: a session without a token started at the position of the primary after its connect, so that any customer's newest commit sent its reads to the primary for up to 500 ms. Change: the owner remembers the newest acknowledged commit of each customer, noted before the acknowledgement, and a base position from its takeover, taken after its home host has evicted its predecessor's connections. It forgets both when ownership changes, and answers from memory only while its authority is certain. The oracle asked for every customer's commits up to the connect, which the new floor does not promise; it asks for the own customer's now, and for all commits up to a token and within the route's staleness.

--- a/internal/bench/oracle_test.go
+++ b/internal/bench/oracle_test.go
@@ -37,6 +37,8 @@
 		{"own write missed", []Write{one}, []Read{read(1, 0, s, 0, time.Hour)}, "k#1", []string{"k#1"}, Findings{Reads: 1, Acked: 1, Stale: 1}},
 		{"older than the bound", []Write{one, two}, []Read{read(2, 1, 5*s, 0, s)}, "k#2", []string{"k#1", "k#2"}, Findings{Reads: 1, Acked: 2, Stale: 1}},
 		{"older than the session's floor", []Write{one, two}, []Read{read(2, 1, 4*s, 3*s, time.Hour)}, "k#2", []string{"k#1", "k#2"}, Findings{Reads: 1, Acked: 2, Stale: 1}},
+		{"own customer's write older than the floor", []Write{one, two}, []Read{{Group: "g", Key: "k", Seq: 1, Session: 2, Sent: 4 * s, KnownOwn: 3 * s, Bound: time.Hour}}, "k#2", []string{"k#1", "k#2"}, Findings{Reads: 1, Acked: 2, Stale: 1}},
+		{"other customer's write within the bound", []Write{one, two}, []Read{{Group: "g", Key: "k", Customer: "other", Seq: 1, Session: 2, Sent: 4 * s, KnownOwn: 3 * s, Bound: time.Hour}}, "k#2", []string{"k#1", "k#2"}, Findings{Reads: 1, Acked: 2}},
 		{"value of another key", []Write{one}, []Read{read(2, -1, 4*s, 0, s)}, "k#1", []string{"k#1"}, Findings{Reads: 1, Acked: 1, Stale: 1}},
 	}
 	for _, test := range tests {
--- a/internal/bench/session.go
+++ b/internal/bench/session.go
@@ -219,7 +219,7 @@
 func (s *session) write(ctx context.Context, l *link) error {
 	load := s.flow.load
 	s.seq++
-	w := Write{Group: s.flow.Group, Key: s.key, Seq: s.seq, Session: s.id, Sent: load.Now()}
+	w := Write{Group: s.flow.Group, Key: s.key, Customer: s.flow.Customer, Seq: s.seq, Session: s.id, Sent: load.Now()}
 	var err error
 	if s.explicit {
 		err = writeExplicit(ctx, l.conn, s.key, s.seq)
@@ -275,7 +275,7 @@
 		l.floor = l.since
 	}
 	r := Read{Group: s.flow.Group, Key: s.key, Session: s.id, Sent: load.Now(), Bound: l.route.Staleness.Std()}
-	r.Known = max(s.known, l.floor)
+	r.Customer, r.Known, r.KnownOwn = s.flow.Customer, s.known, max(s.known, l.floor)
 	// Half of the reads of a writer ask for its own key.
 	if s.seq == 0 || s.rng.IntN(2) == 0 {
 		r.Key = load.anyKey(r.Group, s.rng)
--- a/internal/entry/client.go
+++ b/internal/entry/client.go
@@ -494,13 +494,13 @@
 	if !t.IsZero() {
 		return t, nil
 	}
-	t, err := c.entry.positions.get(ctx, c.route.Group)
+	t, err := c.entry.positions.get(ctx, c.route.Group, c.customer)
 	for err != nil {
 		// The primary can change before the caller's deadline.
 		if !sleep(ctx, positionPause) {
 			return session.Token{}, err
 		}
-		t, err = c.entry.positions.get(ctx, c.route.Group)
+		t, err = c.entry.positions.get(ctx, c.route.Group, c.customer)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -35,10 +35,10 @@
 	Check(route, customer, keyID string) error
 }
 
-// Positions asks for a position that covers everything committed before the
-// call.
+// Positions asks for a position that covers everything acknowledged to the
+// customer before the call.
 type Positions interface {
-	Position(ctx context.Context, group string) (*peerpb.Token, error)
+	Position(ctx context.Context, group, customer string) (*peerpb.Token, error)
 }
 
 // CancelForwarder sends a cancel request to the hosts whose HostNumber is host.
--- a/internal/entry/positions.go
+++ b/internal/entry/positions.go
@@ -15,7 +15,7 @@
 	ctx    context.Context
 	spawn  func(func())
 	mu     sync.Mutex
-	groups map[string]*positionQueue
+	queues map[positionKey]*positionQueue
 }
 
 type positionQueue struct {
@@ -31,26 +31,30 @@
 // newPositionCache returns a cache whose calls end with ctx and run in goroutines
 // that spawn starts.
 func newPositionCache(ctx context.Context, source Positions, spawn func(func())) *positionCache {
-	return &positionCache{source: source, ctx: ctx, spawn: spawn, groups: make(map[string]*positionQueue)}
+	return &positionCache{source: source, ctx: ctx, spawn: spawn, queues: make(map[positionKey]*positionQueue)}
 }
 
+// positionKey names what is asked: the commits of a customer in a group.
+type positionKey struct{ group, customer string }
+
 // get returns a position of the group that covers every commit acknowledged
 // before the call.
-func (p *positionCache) get(ctx context.Context, group string) (session.Token, error) {
+func (p *positionCache) get(ctx context.Context, group, customer string) (session.Token, error) {
 	if p.source == nil {
 		return session.Token{}, noPosition("no source of positions")
 	}
 	answer := make(chan positionResult, 1)
 	p.mu.Lock()
-	q := p.groups[group]
+	key := positionKey{group, customer}
+	q := p.queues[key]
 	if q == nil {
 		q = &positionQueue{}
-		p.groups[group] = q
+		p.queues[key] = q
 	}
 	q.waiting = append(q.waiting, answer)
 	if !q.calling {
 		q.calling = true
-		p.spawn(func() { p.serve(group, q) })
+		p.spawn(func() { p.serve(key, q) })
 	}
 	p.mu.Unlock()
 	select {
@@ -63,7 +67,7 @@
 
 // serve makes calls until nobody waits. Sessions that come during a call are
 // served by the next one.
-func (p *positionCache) serve(group string, q *positionQueue) {
+func (p *positionCache) serve(key positionKey, q *positionQueue) {
 	for {
 		p.mu.Lock()
 		waiting := q.waiting
@@ -74,17 +78,17 @@
 			return
 		}
 		p.mu.Unlock()
-		r := p.call(group)
+		r := p.call(key)
 		for _, w := range waiting {
 			w <- r
 		}
 	}
 }
 
-func (p *positionCache) call(group string) positionResult {
+func (p *positionCache) call(key positionKey) positionResult {
 	ctx, done := context.WithTimeout(p.ctx, positionTimeout)
 	defer done()
-	t, err := p.source.Position(ctx, group)
+	t, err := p.source.Position(ctx, key.group, key.customer)
 	if err != nil || t == nil {
 		return positionResult{err: noPosition("the primary's position is unknown")}
 	}
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -101,6 +101,7 @@
 		return false
 	}
 	p.unreachable = false
+	p.taken.Store(true)
 	return true
 }
 
--- a/internal/home/fake_test.go
+++ b/internal/home/fake_test.go
@@ -373,6 +373,8 @@
 	return a.term, a.writable
 }
 
+func (a *authority) Committed(string, string, uint64, uint64) {}
+
 func (a *authority) ConfirmWrite(ctx context.Context, _ string, _, position uint64) error {
 	a.mu.Lock()
 	block := a.blockWrites
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -26,6 +26,9 @@
 	Writable(group, server string) (term uint64, err error)
 	// ConfirmWrite returns once a commit at the position may be acknowledged.
 	ConfirmWrite(ctx context.Context, group string, term, position uint64) error
+	// Committed notes a confirmed commit of a customer before it is
+	// acknowledged.
+	Committed(group, customer string, term, position uint64)
 	// ConfirmRead returns once a read on the primary, sent after the call to
 	// Writable, may be answered.
 	ConfirmRead(ctx context.Context, group string, term uint64) error
@@ -159,6 +162,15 @@
 	return false
 }
 
+// TakenOver reports whether this host has evicted the data connections of the
+// server's previous home host.
+func (h *Home) TakenOver(server string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p, ok := h.pools[server]
+	return ok && p.taken.Load()
+}
+
 // Connections returns the number of open connections to a server, including
 // those of a role that was released and still drains.
 func (h *Home) Connections(server string) int {
--- a/internal/home/pool.go
+++ b/internal/home/pool.go
@@ -44,7 +44,9 @@
 	cancels chan struct{}
 	// probing and counting are set while such a task runs.
 	probing, counting atomic.Bool
-	status            atomic.Pointer[dbconn.Status]
+	// taken is set once the connections of older epochs were evicted.
+	taken  atomic.Bool
+	status atomic.Pointer[dbconn.Status]
 
 	mu      sync.Mutex
 	server  config.Server
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -549,6 +549,7 @@
 	if err := r.h.opt.Authority.ConfirmWrite(ctx, r.start.Group, r.term, s.Position); err != nil {
 		return nil, unconfirmed(err)
 	}
+	r.h.opt.Authority.Committed(r.start.Group, r.start.Customer, r.term, s.Position)
 	return &peerpb.Token{Group: r.start.Group, Term: r.term, Position: s.Position}, nil
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -65,6 +65,9 @@
 	// Busy reports whether the home host runs transactions on a server of its
 	// own. A planned promotion waits for them. Nil means never.
 	Busy func(server string) bool
+	// TakenOver reports whether the home host has evicted the data connections
+	// of its predecessor at a server of its own. Nil means always.
+	TakenOver func(server string) bool
 	// Dial opens a monitor connection. The default is dbconn.Dial.
 	Dial func(ctx context.Context, address, application string) (Database, error)
 }
@@ -98,6 +101,9 @@
 	if opt.Busy == nil {
 		o.opt.Busy = func(string) bool { return false }
 	}
+	if opt.TakenOver == nil {
+		o.opt.TakenOver = func(string) bool { return true }
+	}
 	if opt.Dial == nil {
 		o.opt.Dial = func(ctx context.Context, address, application string) (Database, error) {
 			return dbconn.Dial(ctx, address, opt.Credentials, application)
@@ -340,17 +346,27 @@
 const positionWait = askTimeout * 3 / 5
 
 // Position returns what this host knows about the group's primary. At the owner
-// the position was asked for after the call arrived.
-func (o *Owner) Position(ctx context.Context, name string) (*peerpb.PositionResponse, error) {
+// the position covers every commit that was acknowledged to the customer before
+// the call, or every commit at all when customer is empty.
+func (o *Owner) Position(ctx context.Context, name, customer string) (*peerpb.PositionResponse, error) {
 	r := o.needed(name)
 	if r == nil {
 		return nil, errors.Wrapf(ErrUnknownGroup, "%q", name)
 	}
 	r.step(group.Asked{})
+	if customer != "" {
+		if resp, ok := r.committed(customer); ok {
+			return resp, nil
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, positionWait)
 	defer cancel()
+	takenOver := r.takenOver()
 	w := &waiter{kind: waitPosition}
 	if r.wait(ctx, w) == group.Acknowledge {
+		if takenOver {
+			r.setBase(w.sample)
+		}
 		return r.response(&w.sample), nil
 	}
 	return r.response(nil), nil
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -66,6 +66,7 @@
 	machine  *group.Machine
 	monitors map[string]*monitor
 	waiters  []*waiter
+	commits  commits
 	home     bool
 	homes    map[string]bool // the servers that this host is home of
 	usedAt   time.Duration
@@ -198,6 +199,7 @@
 	for _, a := range r.machine.Step(r.lease(), in) {
 		r.perform(a)
 	}
+	r.trackOwnership()
 	r.serve()
 }
 
--- a/internal/server/api.go
+++ b/internal/server/api.go
@@ -23,7 +23,7 @@
 }
 
 func (a peerAPI) Position(ctx context.Context, r *peerpb.PositionRequest) (*peerpb.PositionResponse, error) {
-	resp, err := a.s.owner.Position(ctx, r.GetGroup())
+	resp, err := a.s.owner.Position(ctx, r.GetGroup(), r.GetCustomer())
 	if err != nil {
 		return nil, status.Error(codes.NotFound, err.Error())
 	}
--- a/internal/server/directory.go
+++ b/internal/server/directory.go
@@ -34,12 +34,12 @@
 // ownerView is the part of the owner shell that the directory uses.
 type ownerView interface {
 	Primary(group string) (server string, term uint64, ok bool)
-	Position(ctx context.Context, group string) (*peerpb.PositionResponse, error)
+	Position(ctx context.Context, group, customer string) (*peerpb.PositionResponse, error)
 }
 
 // positionAsker reaches the Position call of another host.
 type positionAsker interface {
-	PositionAt(ctx context.Context, address, group string) (*peerpb.PositionResponse, error)
+	PositionAt(ctx context.Context, address, group, customer string) (*peerpb.PositionResponse, error)
 }
 
 // directory answers where roles and primaries are. It knows the primaries of
@@ -166,7 +166,7 @@
 	answers := make(chan *peerpb.PositionResponse, len(homes))
 	for _, h := range homes {
 		go func() {
-			resp, err := d.positionFrom(ctx, h, name)
+			resp, err := d.positionFrom(ctx, h, name, "")
 			if err != nil {
 				resp = nil
 			}
@@ -226,22 +226,22 @@
 	return homes
 }
 
-func (d *directory) positionFrom(ctx context.Context, host member.Identity, name string) (*peerpb.PositionResponse, error) {
+func (d *directory) positionFrom(ctx context.Context, host member.Identity, name, customer string) (*peerpb.PositionResponse, error) {
 	if host.Name == d.fleet.Self().Name {
-		return d.owner.Position(ctx, name)
+		return d.owner.Position(ctx, name, customer)
 	}
-	return d.peers.PositionAt(ctx, host.Address, name)
+	return d.peers.PositionAt(ctx, host.Address, name, customer)
 }
 
 // errNoPosition reports that no owner answered.
 var errNoPosition = errors.New("the group's owner did not answer")
 
-// Position implements entry.Positions: the owner asks its primary after the call.
-// It asks again until ctx ends, because ownership may be on its way to another
+// Position implements entry.Positions: the owner's answer covers the customer's
+// commits before the call. It asks again until ctx ends, because ownership may be on its way to another
 // host.
-func (d *directory) Position(ctx context.Context, name string) (*peerpb.Token, error) {
+func (d *directory) Position(ctx context.Context, name, customer string) (*peerpb.Token, error) {
 	for {
-		token, err := d.askPosition(ctx, name)
+		token, err := d.askPosition(ctx, name, customer)
 		if err == nil {
 			return token, nil
 		}
@@ -253,9 +253,9 @@
 	}
 }
 
-func (d *directory) askPosition(ctx context.Context, name string) (*peerpb.Token, error) {
+func (d *directory) askPosition(ctx context.Context, name, customer string) (*peerpb.Token, error) {
 	for _, h := range d.homesByOwnership(name) {
-		resp, err := d.positionFrom(ctx, h, name)
+		resp, err := d.positionFrom(ctx, h, name, customer)
 		if err != nil {
 			continue
 		}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -79,19 +79,19 @@
 func (p *peers) Position(ctx context.Context, host, group string) (*peerpb.PositionResponse, error) {
 	for _, x := range p.fleet.Peers() {
 		if x.Name == host {
-			return p.PositionAt(ctx, x.Address, group)
+			return p.PositionAt(ctx, x.Address, group, "")
 		}
 	}
 	return nil, errors.Errorf("unknown host %q", host)
 }
 
 // PositionAt asks the host at the address.
-func (p *peers) PositionAt(ctx context.Context, address, group string) (*peerpb.PositionResponse, error) {
+func (p *peers) PositionAt(ctx context.Context, address, group, customer string) (*peerpb.PositionResponse, error) {
 	c, err := p.client(address)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.Position(ctx, &peerpb.PositionRequest{Group: group})
+	resp, err := c.Position(ctx, &peerpb.PositionRequest{Group: group, Customer: customer})
 	p.after(address, err)
 	return resp, err
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -190,7 +190,7 @@
 	calls.fleet = s.member
 	s.owner = owner.New(owner.Options{
 		Fleet: groupFleet{s.member}, Table: access.Tables, Peers: calls,
-		Credentials: backend, Counters: s.counters, Log: s.log, Busy: s.busy,
+		Credentials: backend, Counters: s.counters, Log: s.log, Busy: s.busy, TakenOver: s.takenOver,
 	})
 	s.home = home.New(home.Options{
 		Host: s.settings.Name, Credentials: backend, Authority: s.owner,
@@ -356,6 +356,8 @@
 // busy reports whether the home shell runs transactions on the server.
 func (s *Server) busy(name string) bool { return s.home.Busy(name) }
 
+func (s *Server) takenOver(name string) bool { return s.home.TakenOver(name) }
+
 // evicted has the role rows read again, because another home host has taken a
 // server over. The home serves it again only while the role is still held.
 func (s *Server) evicted(string) {
