--- a/internal/bench/scenario_test.go
+++ b/internal/bench/scenario_test.go
@@ -34,7 +34,6 @@
 // Guards against lost, doubled, stale or falsely refused requests around a
 // killed and a cut-off primary. The shares need longer runs.
 func TestFailoverSmoke(t *testing.T) {
-	t.Parallel()
 	figures := smoke(t, "failover", 16*time.Second)
 	requireMet(t, figures, "writes_lost", "writes_doubled", "stale_reads", "false_not_run", "failover_gap_s")
 	assert.Assert(t, figures["writes_acked"].Value.(int) > 100)
@@ -43,7 +42,6 @@
 // Guards against admissions above the limit and connections above a database's
 // limit while one customer sends several times its rate.
 func TestNoisySmoke(t *testing.T) {
-	t.Parallel()
 	figures := smoke(t, "noisy", 8*time.Second)
 	requireMet(t, figures, "admitted_over_limit", "max_connections_seen", "writes_lost", "writes_doubled", "stale_reads", "false_not_run")
 	assert.Assert(t, figures["within_rate_requests"].Value.(int) > 200)
@@ -53,7 +51,6 @@
 // Guards against requests that are cut, lost or admitted over the limit while a
 // zone leaves and returns.
 func TestZoneSmoke(t *testing.T) {
-	t.Parallel()
 	figures := smoke(t, "zone", 9*time.Second)
 	requireMet(t, figures, "config_in_force_s", "key_withdrawn_s", "requests_cut", "admitted_over_limit", "writes_lost", "stale_reads", "false_not_run")
 	assert.Assert(t, figures["control_bytes_per_host_per_s"].Value.(float64) > 0)
@@ -61,7 +58,6 @@
 
 // Guards against service that depends on the platform's store.
 func TestOutageSmoke(t *testing.T) {
-	t.Parallel()
 	figures := smoke(t, "outage", 8*time.Second)
 	requireMet(t, figures, "config_in_force_s", "key_withdrawn_s", "requests_cut", "served_share_during", "admitted_over_limit", "writes_lost", "stale_reads", "false_not_run")
 }
