--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -174,3 +175,29 @@
 		})
 	}
 }
+
+// BenchmarkPublish reports the simulated time until a publication is accepted
+// and until the document is in force at every host.
+func BenchmarkPublish(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("hosts=%d", n.hosts), func(b *testing.B) {
+			for b.Loop() {
+				s := settled(b, n.hosts, n.zones, n.servers)
+				begin := s.now
+				s.publish(s.hosts[1], 2, 1, s.document("v2"))
+				everywhere := time.Duration(0)
+				for everywhere == 0 || len(s.oracle.accepted) < 2 {
+					s.advance(20 * time.Millisecond)
+					if everywhere == 0 && !slices.ContainsFunc(s.hosts, func(h *simHost) bool { return h.f.version() < 2 }) {
+						everywhere = s.now - begin
+					}
+					if s.now > begin+time.Minute {
+						b.Fatal("not accepted within a minute")
+					}
+				}
+				b.ReportMetric(float64((s.oracle.accepted[1].at - begin).Milliseconds()), "accepted-ms")
+				b.ReportMetric(float64(everywhere.Milliseconds()), "everywhere-ms")
+			}
+		})
+	}
+}
