Use separate credentials for fence, promote, follow and evict

Cause: a caller's statement ran with the same database user as the hosts' own calls, so that SELECT cranberryhinge.promote(...) from a caller would have changed the primary. Change: control calls use credentials of their own; settings with one user for both are refused; the stand-in answers 42501 to the data user.

--- a/cmd/cranberryhinge/main_test.go
+++ b/cmd/cranberryhinge/main_test.go
@@ -240,6 +240,8 @@
 primary: main-0
 user: proxy
 password: backend-password
+control_user: control
+control_password: control-password
 connections: 20
 slots: 3
 connect_delay: 10ms
@@ -257,7 +259,7 @@
 peer: {listen: "%s"}
 admin: {listen: "%s"}
 platform: "%s"
-backend: {user: proxy, password: backend-password, database: app}
+backend: {user: proxy, password: backend-password, database: app, control_user: control, control_password: control-password}
 drain_timeout: 8s
 `, i, testZones[i%len(testZones)], d.clients[i], filepath.Join(d.dir, "cert.pem"), filepath.Join(d.dir, "key.pem"), d.peers[i], d.admins[i], platform))
 }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -26,6 +26,8 @@
 const (
 	backendUser     = "cranberryhinge"
 	backendPassword = "backend-only-password"
+	controlUser     = "cranberryhinge-control"
+	controlPassword = "control-only-password"
 )
 
 // Settings describe a deployment.
@@ -146,6 +148,7 @@
 		d.Name, d.Address = s.Name, "127.0.0.1:0"
 		d.Primary, d.Term = g.Servers[0].Name, 1
 		d.User, d.Password = backendUser, backendPassword
+		d.ControlUser, d.ControlPassword = controlUser, controlPassword
 		d.Connections, d.Slots = s.Connections, s.Slots
 		d.Seed += uint64(len(c.Databases) + i)
 		all[i] = d
@@ -185,9 +188,12 @@
 	}
 	s, err := server.New(server.Settings{
 		Name: name, Zone: zone, Platform: "in-process",
-		Client:       server.ClientSettings{Listen: "127.0.0.1:0", Certificate: "in-process", Key: "in-process"},
-		Peer:         server.PeerSettings{Listen: "127.0.0.1:0"},
-		Backend:      server.BackendSettings{User: backendUser, Password: backendPassword, Database: "app"},
+		Client: server.ClientSettings{Listen: "127.0.0.1:0", Certificate: "in-process", Key: "in-process"},
+		Peer:   server.PeerSettings{Listen: "127.0.0.1:0"},
+		Backend: server.BackendSettings{
+			User: backendUser, Password: backendPassword, Database: "app",
+			ControlUser: controlUser, ControlPassword: controlPassword,
+		},
 		LogLevel:     c.settings.LogLevel,
 		DrainTimeout: config.Duration(c.settings.Drain),
 	}, server.Options{
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -79,7 +79,7 @@
 func (p *pool) monitor(f func(ctx context.Context, c *dbconn.Conn) error) error {
 	ctx, cancel := context.WithTimeout(p.ctx, controlTimeout)
 	defer cancel()
-	c, err := dbconn.Dial(ctx, p.address, p.h.opt.Credentials, "cranberryhinge/"+p.h.opt.Host+"/monitor")
+	c, err := dbconn.Dial(ctx, p.address, p.h.opt.Control, "cranberryhinge/"+p.h.opt.Host+"/monitor")
 	if err != nil {
 		return err
 	}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -42,9 +42,11 @@
 	// Host is the name of this host, part of application_name.
 	Host        string
 	Credentials dbconn.Credentials
-	Authority   Authority
-	Log         *log.Logger
-	Counters    *telemetry.Counters
+	// Control are the credentials for evict; default is Credentials.
+	Control   dbconn.Credentials
+	Authority Authority
+	Log       *log.Logger
+	Counters  *telemetry.Counters
 	// OnEvicted, if set, is called, once for each Hold, when another home host evicted the
 	// connections to a server. The role row has to be read again; the server
 	// is served again after the next Hold. It must not block.
@@ -71,6 +73,9 @@
 
 // New returns a Home that serves no backend server yet.
 func New(opt Options) *Home {
+	if opt.Control.User == "" {
+		opt.Control = opt.Credentials
+	}
 	if opt.Counters == nil {
 		opt.Counters = telemetry.NewCounters()
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -175,9 +175,10 @@
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
 	s.pool = peer.NewPool(creds, dial)
-	backend := s.settings.Credentials()
+	backend, control := s.settings.Credentials(), s.settings.ControlCredentials()
 	if dial != nil {
 		backend.Dial = func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }
+		control.Dial = backend.Dial
 	}
 	calls := &peers{pool: s.pool}
 	s.peers = calls
@@ -190,10 +191,10 @@
 	calls.fleet = s.member
 	s.owner = owner.New(owner.Options{
 		Fleet: groupFleet{s.member}, Table: access.Tables, Peers: calls,
-		Credentials: backend, Counters: s.counters, Log: s.log, Busy: s.busy, TakenOver: s.takenOver,
+		Credentials: control, Counters: s.counters, Log: s.log, Busy: s.busy, TakenOver: s.takenOver,
 	})
 	s.home = home.New(home.Options{
-		Host: s.settings.Name, Credentials: backend, Authority: s.owner,
+		Host: s.settings.Name, Credentials: backend, Control: control, Authority: s.owner,
 		Log: s.log, Counters: s.counters, OnEvicted: s.evicted,
 	})
 	calls.local = s.home.Serve
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"net"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -69,6 +70,12 @@
 	// PasswordFile holds the password, so that it need not stand in the settings.
 	PasswordFile string `yaml:"password_file"`
 	Password     string `yaml:"password"`
+	// Control credentials are used for fence, promote, follow and evict alone.
+	// Callers' statements run with the ones above, which must not have the
+	// right to call these functions.
+	ControlUser         string `yaml:"control_user"`
+	ControlPasswordFile string `yaml:"control_password_file"`
+	ControlPassword     string `yaml:"control_password"`
 }
 
 // Defaults of settings that are left out.
@@ -105,16 +112,29 @@
 	if s.LogLevel == "" {
 		s.LogLevel = defaultLogLevel
 	}
-	if s.Backend.PasswordFile != "" {
-		data, err := os.ReadFile(s.Backend.PasswordFile)
-		if err != nil {
-			return errors.Wrap(err, "read backend password")
-		}
-		s.Backend.Password = string(data)
+	if err := readSecret(s.Backend.PasswordFile, &s.Backend.Password); err != nil {
+		return err
+	}
+	if err := readSecret(s.Backend.ControlPasswordFile, &s.Backend.ControlPassword); err != nil {
+		return err
 	}
 	return s.check()
 }
 
+// readSecret reads a password from a file, if one is named. A line break at its
+// end is not part of the password.
+func readSecret(path string, target *string) error {
+	if path == "" {
+		return nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read backend password")
+	}
+	*target = strings.TrimRight(string(data), "\r\n")
+	return nil
+}
+
 func (s *Settings) check() error {
 	required := []struct{ name, value string }{
 		{"name", s.Name},
@@ -123,12 +143,16 @@
 		{"peer.listen", s.Peer.Listen},
 		{"platform", s.Platform},
 		{"backend.user", s.Backend.User},
+		{"backend.control_user", s.Backend.ControlUser},
 	}
 	for _, r := range required {
 		if r.value == "" {
 			return errors.Errorf("setting %s is missing", r.name)
 		}
 	}
+	if s.Backend.User == s.Backend.ControlUser {
+		return errors.New("settings backend.user and backend.control_user are the same; a caller's statement could then promote a database")
+	}
 	if !s.Client.Plaintext && (s.Client.Certificate == "" || s.Client.Key == "") {
 		return errors.New("settings client.certificate and client.key are missing; plaintext has to be switched on with client.plaintext")
 	}
@@ -145,6 +169,11 @@
 	return dbconn.Credentials{User: s.Backend.User, Password: s.Backend.Password, Database: s.Backend.Database}
 }
 
+// ControlCredentials returns the credentials for the control calls.
+func (s *Settings) ControlCredentials() dbconn.Credentials {
+	return dbconn.Credentials{User: s.Backend.ControlUser, Password: s.Backend.ControlPassword, Database: s.Backend.Database}
+}
+
 // ClientTLS returns the TLS settings of the client listener, nil for plaintext.
 func (s *Settings) ClientTLS() (*tls.Config, error) {
 	if s.Client.Certificate == "" {
--- a/internal/standin/errors.go
+++ b/internal/standin/errors.go
@@ -11,6 +11,7 @@
 	codeProtocolViolation = "08P01"
 	codeUnsupported       = "0A000"
 	codeBadPassword       = "28P01"
+	codePrivilege         = "42501"
 	codeInvalidText       = "22P02"
 	codeUniqueViolation   = "23505"
 	codeReadOnly          = "25006"
--- a/internal/standin/exec.go
+++ b/internal/standin/exec.go
@@ -372,6 +372,9 @@
 	if s.dropped {
 		return nil, failf(codeShutdown, "terminating connection due to administrator command")
 	}
+	if st.words[0] != "status" && db.settings.ControlUser != "" && !s.control {
+		return nil, failf(codePrivilege, "permission denied for function %s", st.words[0])
+	}
 	var err *sqlError
 	row := []value{textValue("")}
 	switch st.words[0] {
--- a/internal/standin/session.go
+++ b/internal/standin/session.go
@@ -27,6 +27,8 @@
 	// tells whether there is one.
 	epoch     uint64
 	evictable bool
+	// control is set for a user that may make the control calls.
+	control bool
 	// startup holds the settings that RESET restores.
 	startup    map[string]string
 	settings   map[string]string
@@ -225,11 +227,15 @@
 }
 
 func (s *session) checkPassword(user, password string) *sqlError {
-	want := s.db.settings.Password
+	expected, want := s.db.settings.User, s.db.settings.Password
+	if control := s.db.settings.ControlUser; control != "" && user == control {
+		expected, want = control, s.db.settings.ControlPassword
+		s.control = true
+	}
 	if s.db.settings.Authentication == AuthenticationMD5 {
 		want = "md5" + md5Hex(md5Hex(want+user)+string(md5Salt[:]))
 	}
-	if user != s.db.settings.User || password != want {
+	if user != expected || password != want {
 		return failf(codeBadPassword, "password authentication failed for user %q", user)
 	}
 	return nil
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -49,6 +49,10 @@
 	User           string `yaml:"user"`
 	Password       string `yaml:"password"`
 	Authentication string `yaml:"authentication"`
+	// ControlUser alone may call fence, promote, follow and evict. Without one
+	// every user may.
+	ControlUser     string `yaml:"control_user"`
+	ControlPassword string `yaml:"control_password"`
 
 	// Connections is the limit above which 53300 is answered.
 	Connections  int           `yaml:"connections"`
