--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -35,6 +36,9 @@
 }
 
 func (a *app) bench(ctx context.Context, name string, opts bench.Options) error {
+	if !slices.Contains(bench.Names(), name) {
+		return usagef("unknown scenario %q: want one of %s", name, strings.Join(bench.Names(), ", "))
+	}
 	if opts.Duration < 0 || opts.Duration > time.Hour {
 		return usagef("--duration has to be between 0 and 1h")
 	}
