--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -24,6 +24,8 @@
 	Duration time.Duration
 	// Log receives the logs of all hosts; nil discards them.
 	Log io.Writer
+	// Plot is the directory for plots of the scenario scale; empty draws none.
+	Plot string
 }
 
 // scenario is one kind of run.
@@ -37,6 +39,7 @@
 	"noisy":    {runNoisy, 30 * time.Second},
 	"zone":     {runZone, 25 * time.Second},
 	"outage":   {runOutage, 25 * time.Second},
+	"scale":    {runScale, 0},
 }
 
 // Names returns the names of the scenarios.
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -19,6 +19,7 @@
 	seed := flags.Uint64(0, "seed", 1, "seed of the load and of the drawn delays")
 	duration := flags.Duration(0, "duration", 0, "time under load; 0 takes the scenario's default")
 	examples := flags.String(0, "examples", "examples", "directory of the example configurations")
+	plots := flags.String(0, "plot", "", "directory for plots of the scenario scale")
 	return &ff.Command{
 		Name:      "bench",
 		Usage:     "cranberryhinge bench --scenario <NAME> [--json] [--seed N] [--duration D]",
@@ -29,7 +30,7 @@
 			if *scenario == "" {
 				return usagef("--scenario is missing: want one of %s", names)
 			}
-			return a.bench(ctx, *scenario, bench.Options{Examples: *examples, Seed: *seed, Duration: *duration})
+			return a.bench(ctx, *scenario, bench.Options{Examples: *examples, Seed: *seed, Duration: *duration, Plot: *plots})
 		},
 	}
 }
