--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -16,8 +16,8 @@
 
 // Simulated time of the fleet measurement.
 const (
-	startTime  = 5 * time.Second
-	settleTime = 6 * time.Second
+	startTime  = 4 * time.Second
+	settleTime = 4 * time.Second
 )
 
 // fleetSeries measures heartbeats, store calls and memory of the fleet aggregate.
