Compress the configuration between hosts and in the object store

Change: peers and the object store carry the document as gzip. A host keeps the compressed form of the document that it serves.

--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -74,11 +74,14 @@
 		out.Revision, err = m.opt.Table.CompareAndSwap(ctx, c.Key, c.Expect, c.Value)
 	case fleet.OpPutObject:
 		counter = "fleet_store_writes"
-		err = m.opt.Objects.Put(ctx, c.Key, c.Value)
+		var packed []byte
+		if packed, err = config.Compress(c.Value); err == nil {
+			err = m.opt.Objects.Put(ctx, c.Key, packed)
+		}
 	case fleet.OpGetObject:
-		out.Data, err = m.opt.Objects.Get(ctx, c.Key)
-		if err == nil {
-			out.Document = m.decode(out.Data)
+		var packed []byte
+		if packed, err = m.opt.Objects.Get(ctx, c.Key); err == nil {
+			out.Data, out.Document, err = m.expand(packed)
 		}
 	}
 	m.opt.Counters.Add(counter, 1)
@@ -101,6 +104,16 @@
 	}
 }
 
+// expand returns the document in a compressed one. The document is nil when its
+// content is not valid.
+func (m *Member) expand(packed []byte) ([]byte, *config.Document, error) {
+	data, err := config.Decompress(packed)
+	if err != nil {
+		return nil, nil, err
+	}
+	return data, m.decode(data), nil
+}
+
 func (m *Member) decode(data []byte) *config.Document {
 	d, err := m.opt.Decode(data)
 	if err != nil {
@@ -146,8 +159,11 @@
 	done := fleet.DocumentDone{Call: a.Call}
 	r, err := m.opt.Peers.Configuration(ctx, a.Address, &peerpb.ConfigurationRequest{})
 	if err == nil && r.GetVersion() > 0 {
-		done.Version, done.Data = config.Version(r.GetVersion()), r.GetDocument()
-		done.Document = m.decode(done.Data)
+		done.Version = config.Version(r.GetVersion())
+		done.Data, done.Document, err = m.expand(r.GetDocument())
+	}
+	if err != nil {
+		m.opt.Logger.Debug().Str("address", a.Address).Err(err).Msg("configuration fetch failed")
 	}
 	m.feed(done)
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -123,6 +123,8 @@
 	published   map[uint64]chan fleet.PublishResult
 	publishID   uint64
 
+	packed packedDocument
+
 	calls    [fleet.Duties]chan fleet.StoreCall
 	pool     pond.Pool
 	replaced chan struct{}
--- a/internal/member/queries.go
+++ b/internal/member/queries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -100,12 +101,38 @@
 // Configuration serves the document in force.
 func (m *Member) Configuration(context.Context, *peerpb.ConfigurationRequest) (*peerpb.ConfigurationResponse, error) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	d, data := m.fleet.Document()
+	m.mu.Unlock()
 	if d == nil {
 		return &peerpb.ConfigurationResponse{}, nil
 	}
-	return &peerpb.ConfigurationResponse{Version: uint64(d.Version), Document: data}, nil
+	packed, err := m.packed.of(d.Version, data)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.ConfigurationResponse{Version: uint64(d.Version), Document: packed}, nil
+}
+
+// packedDocument keeps the compressed form of the document that was served
+// last. Compressing 1.4 MB takes 20 ms, and many peers ask at once.
+type packedDocument struct {
+	mu      sync.Mutex
+	version config.Version
+	data    []byte
+}
+
+func (p *packedDocument) of(v config.Version, data []byte) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.data != nil && p.version == v {
+		return p.data, nil
+	}
+	packed, err := config.Compress(data)
+	if err != nil {
+		return nil, err
+	}
+	p.version, p.data = v, packed
+	return packed, nil
 }
 
 // Handover serves a peer's notice that it has written roles to this host.
--- a/internal/scale/capacity.go
+++ b/internal/scale/capacity.go
@@ -65,7 +65,7 @@
 func capacity(r *Result) (Capacity, error) {
 	for _, name := range []string{
 		"exchange_bytes", "exchange_cpu", "exchanges_sent", "fleet_cpu", "fleet_memory", "store_reads", "store_writes",
-		"document_bytes", "document_gzip_bytes", "document_decode_cpu", "document_memory", "poll_cpu", "poll_bytes", "grant_cpu", "connection_memory",
+		"document_gzip_bytes", "document_decode_cpu", "document_gzip_cpu", "document_gunzip_cpu", "document_memory", "poll_cpu", "poll_bytes", "grant_cpu", "connection_memory",
 	} {
 		if _, ok := r.series(name); !ok {
 			return Capacity{}, errors.Errorf("no measurement of %s", name)
@@ -89,13 +89,14 @@
 	samples := pollsPerSecond * (Target.Databases - groups) / hosts
 	calls := (at("store_reads", hosts)+at("store_writes", hosts))/hosts + Target.Databases/groupRefresh/hosts + 1/hostListInterval
 	changes := Target.Changes / daySeconds
-	document := at("document_bytes", entities)
+	document := at("document_gzip_bytes", entities)
+	prepare := at("document_decode_cpu", entities) + at("document_gzip_cpu", entities) + at("document_gunzip_cpu", entities)
 	c := Capacity{Loads: []Load{
 		{"heartbeats", 2 * exchanges * at("exchange_bytes", hosts), at("fleet_cpu", hosts) + share(at("exchange_cpu", hosts), exchanges), at("fleet_memory", hosts)},
 		{"store calls", calls * callBytes, share(callCPU, calls), 0},
 		// Each host fetches a document once and, in the mean, serves it once. Two
 		// documents exist while one replaces the other.
-		{"configuration", 2 * changes * document, share(1e3*at("document_decode_cpu", entities), changes), 2 * at("document_memory", entities)},
+		{"configuration", 2 * changes * document, share(1e3*prepare, changes), 2 * at("document_memory", entities)},
 		{"status polls", polls * slope("poll_bytes"), share(slope("poll_cpu"), polls), 0},
 		// A sample is asked by one host and answered by another.
 		{"freshness samples", 2 * samples * callBytes, share(callCPU, samples), 0},
--- a/internal/scale/document.go
+++ b/internal/scale/document.go
@@ -1,16 +1,11 @@
 package scale
 
 import (
-	"bytes"
-	"compress/gzip"
 	"crypto/sha256"
 	"fmt"
-	"io"
 	"runtime"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 )
 
@@ -131,11 +126,11 @@
 	if err != nil {
 		return nil, err
 	}
-	compress, err := repeat(func() (err error) { packed, err = pack(data); return err })
+	compress, err := repeat(func() (err error) { packed, err = config.Compress(data); return err })
 	if err != nil {
 		return nil, err
 	}
-	expand, err := repeat(func() error { return unpack(packed) })
+	expand, err := repeat(func() error { _, err := config.Decompress(packed); return err })
 	if err != nil {
 		return nil, err
 	}
@@ -165,25 +160,4 @@
 	return cpu.Seconds() * 1e3 / repetitions, err
 }
 
-func pack(data []byte) ([]byte, error) {
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	if _, err := w.Write(data); err != nil {
-		return nil, errors.Wrap(err, "compress")
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress")
-	}
-	return b.Bytes(), nil
-}
-
-func unpack(packed []byte) error {
-	r, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return errors.Wrap(err, "expand")
-	}
-	_, err = io.Copy(io.Discard, r)
-	return errors.Wrap(err, "expand")
-}
-
 func customerName(i int) string { return fmt.Sprintf("customer-%04d", i) }
