Find the entries of a document by name through an index

Cause: the limit of a customer is looked up for each statement and each grant, the group and the route for each statement, by scans of up to 2,000 entries.

Change: decoding builds an index of places. A lookup checks the name at the place and falls back to the scan, so edited documents stay right.

--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -50,6 +50,7 @@
 	if len(src.problems) > 0 {
 		return nil, src.problems.sorted()
 	}
+	doc.Index = newIndex(doc)
 	return doc, nil
 }
 
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -10,6 +10,8 @@
 	Version   Version   `yaml:"-"`
 	Inventory Inventory `yaml:"inventory"`
 	Rules     Rules     `yaml:"rules"`
+	// Index speeds lookups up. Decoding sets it.
+	Index *Index `yaml:"-"`
 }
 
 // Inventory lists what exists.
@@ -150,44 +152,32 @@
 // kept for status polls, fencing and takeovers.
 const MonitorConnections = 4
 
+// index returns the index, or an empty one for a document that was not decoded.
+func (d *Document) index() Index {
+	if d.Index == nil {
+		return Index{}
+	}
+	return *d.Index
+}
+
 // Group returns the group with the name.
 func (d *Document) Group(name string) (Group, bool) {
-	for _, g := range d.Inventory.Groups {
-		if g.Name == name {
-			return g, true
-		}
-	}
-	return Group{}, false
+	return find(d.Inventory.Groups, d.index().Groups, name, func(g *Group) string { return g.Name })
 }
 
 // Route returns the route with the name.
 func (d *Document) Route(name string) (Route, bool) {
-	for _, r := range d.Rules.Routes {
-		if r.Name == name {
-			return r, true
-		}
-	}
-	return Route{}, false
+	return find(d.Rules.Routes, d.index().Routes, name, func(r *Route) string { return r.Name })
 }
 
 // Customer returns the customer with the name.
 func (d *Document) Customer(name string) (Customer, bool) {
-	for _, c := range d.Inventory.Customers {
-		if c.Name == name {
-			return c, true
-		}
-	}
-	return Customer{}, false
+	return find(d.Inventory.Customers, d.index().Customers, name, func(c *Customer) string { return c.Name })
 }
 
 // Limit returns the customer's limit.
 func (d *Document) Limit(customer string) (Limit, bool) {
-	for _, l := range d.Rules.Limits {
-		if l.Customer == customer {
-			return l, true
-		}
-	}
-	return Limit{}, false
+	return find(d.Rules.Limits, d.index().Limits, customer, func(l *Limit) string { return l.Customer })
 }
 
 // ZoneOut reports whether the zone was taken out of service.
@@ -202,6 +192,12 @@
 
 // Server returns the backend server with the name and its group.
 func (d *Document) Server(name string) (Server, Group, bool) {
+	if at, ok := d.index().Servers[name]; ok && at[0] < len(d.Inventory.Groups) {
+		g := d.Inventory.Groups[at[0]]
+		if at[1] < len(g.Servers) && g.Servers[at[1]].Name == name {
+			return g.Servers[at[1]], g, true
+		}
+	}
 	for _, g := range d.Inventory.Groups {
 		for _, s := range g.Servers {
 			if s.Name == name {
--- /dev/null
+++ b/internal/config/index_test.go
@@ -0,0 +1,73 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against an index that gives another answer than a scan, also after the
+// document was edited, reordered or shortened in place.
+func TestIndexedLookupsEqualScans(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOfNDistinct(rapid.IntRange(0, 20), 1, 12, rapid.ID[int]).Draw(t, "names")
+		d := &Document{}
+		for _, n := range names {
+			name := fmt.Sprint(n)
+			d.Inventory.Groups = append(d.Inventory.Groups, Group{Name: "g" + name, Servers: []Server{{Name: "a" + name}, {Name: "b" + name}}})
+			d.Inventory.Customers = append(d.Inventory.Customers, Customer{Name: name})
+			d.Rules.Limits = append(d.Rules.Limits, Limit{Customer: name, Rate: float64(n)})
+			d.Rules.Routes = append(d.Rules.Routes, Route{Name: name})
+		}
+		d.Index = newIndex(d)
+		order := rapid.Permutation(names).Draw(t, "order")
+		switch rapid.IntRange(0, 2).Draw(t, "edit") {
+		case 1:
+			d.Rules.Limits = d.Rules.Limits[:len(names)/2]
+			d.Inventory.Groups = d.Inventory.Groups[len(names)/2:]
+			d.Inventory.Customers[0].Name = "renamed"
+		case 2:
+			for i, n := range order {
+				name := fmt.Sprint(n)
+				d.Rules.Limits[i] = Limit{Customer: name, Rate: float64(n)}
+				d.Rules.Routes[i].Name, d.Inventory.Customers[i].Name = name, name
+				d.Inventory.Groups[i] = Group{Name: "g" + name, Servers: []Server{{Name: "b" + name}, {Name: "a" + name}}}
+			}
+		}
+		plain := *d
+		plain.Index = nil
+		for n := range 21 {
+			name := fmt.Sprint(n)
+			equal(t, d.Group, plain.Group, "g"+name)
+			equal(t, d.Route, plain.Route, name)
+			equal(t, d.Customer, plain.Customer, name)
+			equal(t, d.Limit, plain.Limit, name)
+			equal(t, serverOf(d), serverOf(&plain), "a"+name)
+			equal(t, serverOf(d), serverOf(&plain), "b"+name)
+		}
+	})
+}
+
+func serverOf(d *Document) func(string) ([2]string, bool) {
+	return func(name string) ([2]string, bool) {
+		s, g, ok := d.Server(name)
+		return [2]string{s.Name, g.Name}, ok
+	}
+}
+
+func equal[T any](t *rapid.T, indexed, scanned func(string) (T, bool), name string) {
+	got, found := indexed(name)
+	want, exists := scanned(name)
+	assert.Equal(t, found, exists, name)
+	assert.DeepEqual(t, got, want)
+}
+
+// Guards against a decoded document without an index, which would be slow only.
+func TestDecodedDocumentIsIndexed(t *testing.T) {
+	doc, err := Load("../../examples/kandyan")
+	assert.NilError(t, err)
+	assert.Equal(t, len(doc.Index.Limits), len(doc.Rules.Limits))
+	assert.Equal(t, len(doc.Index.Servers), 9)
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -233,7 +233,7 @@
 	if doc == nil {
 		return nil
 	}
-	if !slices.ContainsFunc(doc.Inventory.Groups, func(g config.Group) bool { return g.Name == name }) {
+	if _, ok := doc.Group(name); !ok {
 		return nil
 	}
 	r := o.startRunner(name)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -96,12 +96,8 @@
 	if doc == nil {
 		return false
 	}
-	for _, x := range doc.Rules.Routes {
-		if x.Name == route {
-			return x.Repeatable
-		}
-	}
-	return false
+	x, ok := doc.Route(route)
+	return ok && x.Repeatable
 }
 
 // view collects what is known about the group.
@@ -111,26 +107,24 @@
 	if doc == nil {
 		return View{}, false
 	}
-	for _, g := range doc.Inventory.Groups {
-		if g.Name != group {
-			continue
-		}
-		v := View{
-			OwnZone: r.opts.Zone, Group: g, ZonesOut: doc.Rules.ZonesOut,
-			Homes: make(map[string]Host, len(g.Servers)), Unreachable: make(map[string]bool),
-		}
-		if server, term, ok := d.Primary(group); ok {
-			v.Primary, v.Term = server, term
-		}
-		for _, s := range g.Servers {
-			if h, ok := d.Home(s.Name); ok {
-				v.Homes[s.Name] = h
-				v.Unreachable[h.Name] = !d.Reachable(h.Name)
-			}
+	g, ok := doc.Group(group)
+	if !ok {
+		return View{}, false
+	}
+	v := View{
+		OwnZone: r.opts.Zone, Group: g, ZonesOut: doc.Rules.ZonesOut,
+		Homes: make(map[string]Host, len(g.Servers)), Unreachable: make(map[string]bool),
+	}
+	if server, term, ok := d.Primary(group); ok {
+		v.Primary, v.Term = server, term
+	}
+	for _, s := range g.Servers {
+		if h, ok := d.Home(s.Name); ok {
+			v.Homes[s.Name] = h
+			v.Unreachable[h.Name] = !d.Reachable(h.Name)
 		}
-		return v, true
 	}
-	return View{}, false
+	return v, true
 }
 
 // choose returns the next candidate, or the time to wait for one.
--- a/internal/scale/poll.go
+++ b/internal/scale/poll.go
@@ -84,12 +84,20 @@
 // grantCost returns the processor time in microseconds of one grant.
 func grantCost(ctx context.Context, customers, open, calls int) (float64, error) {
 	doc := sized(1)
-	doc.Inventory.Customers, doc.Rules.Limits = nil, nil
+	doc.Inventory.Customers, doc.Rules.Limits, doc.Rules.Routes = nil, nil, nil
 	names := make([]string, customers)
 	for i := range names {
 		names[i] = customerName(i)
+		doc.Inventory.Customers = append(doc.Inventory.Customers, config.Customer{Name: names[i]})
 		doc.Rules.Limits = append(doc.Rules.Limits, config.Limit{Customer: names[i], Rate: 1e6, Burst: 1e6})
 	}
+	data, err := config.Encode(doc)
+	if err != nil {
+		return 0, err
+	}
+	if doc, err = config.Decode(data); err != nil {
+		return 0, err
+	}
 	var now time.Duration
 	minters := limit.NewMinters(minterFleet{doc}, func() time.Duration { return now })
 	grant := func(name string, settle uint64) (uint64, error) {
