--- a/internal/backend/server_test.go
+++ b/internal/backend/server_test.go
@@ -9,6 +9,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	_ "github.com/cranberryhinge/cranberryhinge/internal/fixedseed"
+
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
 
--- a/internal/config/index_test.go
+++ b/internal/config/index_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "github.com/cranberryhinge/cranberryhinge/internal/fixedseed"
 )
 
 // Guards against an index that gives another answer than a scan, also after the
--- a/internal/fleet/property_test.go
+++ b/internal/fleet/property_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -12,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/fixedseed"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 )
 
@@ -20,16 +20,7 @@
 //
 //	go test ./internal/fleet -run TestFleetProperties -rapid.checks=3000 -rapid.seed=0 -timeout=30m
 func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
-		if !set[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
+	fixedseed.Defaults(map[string]string{"rapid.seed": "1", "rapid.checks": "60"})
 	os.Exit(m.Run())
 }
 
--- a/internal/group/machine_test.go
+++ b/internal/group/machine_test.go
@@ -1,7 +1,6 @@
 package group
 
 import (
-	"flag"
 	"os"
 	"testing"
 	"time"
@@ -10,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/fixedseed"
 )
 
 // TestMain fixes the seed of rapid unless the command line sets one, so that
@@ -17,17 +17,7 @@
 //
 //	go test ./internal/group -run TestRandomFaults -rapid.seed=0 -rapid.checks=20000 -timeout 2h
 func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20260", "rapid.checks": "100", "rapid.nofailfile": "true"} {
-		if set[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	fixedseed.Defaults(map[string]string{"rapid.seed": "20260", "rapid.checks": "100"})
 	os.Exit(m.Run())
 }
 
--- a/internal/routing/board_test.go
+++ b/internal/routing/board_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	_ "github.com/cranberryhinge/cranberryhinge/internal/fixedseed"
+
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
