--- a/internal/cli/configure.go
+++ b/internal/cli/configure.go
@@ -15,6 +15,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/server"
 )
 
 // appliedFile records, beside the configuration, the version that this working
@@ -32,9 +33,10 @@
 func (a *app) checkCommand() *ff.Command {
 	flags := ff.NewFlagSet("check")
 	a.jsonFlag(flags)
+	settings := flags.String(0, "settings", "", "also check a host's settings file against the configuration")
 	return &ff.Command{
 		Name:      "check",
-		Usage:     "cranberryhinge check [--json] <DIRECTORY>",
+		Usage:     "cranberryhinge check [--json] [--settings <FILE>] <DIRECTORY>",
 		ShortHelp: "check inventory.yaml and rules.yaml in a directory",
 		LongHelp:  "EXAMPLE\n  cranberryhinge check examples/sundarban",
 		Flags:     flags,
@@ -43,7 +45,10 @@
 			if err != nil {
 				return err
 			}
-			return a.check(dir)
+			if err := a.check(dir); err != nil || *settings == "" {
+				return err
+			}
+			return checkSettings(dir, *settings)
 		},
 	}
 }
@@ -82,6 +87,20 @@
 	return nil
 }
 
+// checkSettings checks a host's settings against the configuration that the
+// host will serve.
+func checkSettings(dir, path string) error {
+	s, err := server.ParseSettings(path)
+	if err != nil {
+		return err
+	}
+	doc, err := config.Load(dir)
+	if err != nil {
+		return err
+	}
+	return s.CheckAgainst(doc)
+}
+
 func (a *app) applyCommand() *ff.Command {
 	flags := ff.NewFlagSet("apply")
 	a.jsonFlag(flags)
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -85,8 +85,18 @@
 	defaultLogLevel     = "info"
 )
 
-// LoadSettings reads a host's settings strictly.
+// LoadSettings reads a host's settings strictly, with its secrets.
 func LoadSettings(path string) (Settings, error) {
+	s, err := ParseSettings(path)
+	if err != nil {
+		return s, err
+	}
+	return s, s.prepare()
+}
+
+// ParseSettings reads and checks a host's settings. The files that they name
+// need not be there.
+func ParseSettings(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "read settings")
@@ -95,11 +105,36 @@
 	if err := config.DecodeStrict(path, data, &s); err != nil {
 		return Settings{}, err
 	}
-	return s, s.prepare()
+	s.setDefaults()
+	return s, s.check()
 }
 
-// prepare fills in defaults and checks the settings.
-func (s *Settings) prepare() error {
+// CheckAgainst reports settings that do not fit the configuration.
+func (s *Settings) CheckAgainst(doc *config.Document) error {
+	zone := ""
+	for _, h := range doc.Inventory.Hosts {
+		if h.Name == s.Name {
+			zone = h.Zone
+		}
+	}
+	switch {
+	case zone == "":
+		return errors.Errorf("setting name: host %q is not in the inventory", s.Name)
+	case zone != s.Zone:
+		return errors.Errorf("setting zone: host %q is in zone %q by the inventory, not in %q", s.Name, zone, s.Zone)
+	}
+	if !s.Client.Plaintext {
+		return nil
+	}
+	for _, r := range doc.Rules.Routes {
+		if !r.Public {
+			return errors.Errorf("setting client.plaintext: route %q needs a key, which must not travel without TLS", r.Name)
+		}
+	}
+	return nil
+}
+
+func (s *Settings) setDefaults() {
 	if s.Peer.Advertise == "" {
 		s.Peer.Advertise = s.Peer.Listen
 	}
@@ -112,6 +147,11 @@
 	if s.LogLevel == "" {
 		s.LogLevel = defaultLogLevel
 	}
+}
+
+// prepare fills in defaults, reads the secrets and checks the settings.
+func (s *Settings) prepare() error {
+	s.setDefaults()
 	if err := readSecret(s.Backend.PasswordFile, &s.Backend.Password); err != nil {
 		return err
 	}
