Let open transactions go on while a planned promotion waits for them

Cause: the owner refuses new work before a planned promotion, and the home host asked it for each statement, so that the next statement of an open transaction failed with 08007 "no open primary here". The report now names the message. Ruled out: the hand-over of the home role, which waits for open transactions. Change: the refusal does not end an open transaction; the confirmation of its commit decides.

--- a/internal/bench/session.go
+++ b/internal/bench/session.go
@@ -144,7 +144,7 @@
 	case err == nil:
 		return result{outcome: Served}
 	case errors.As(err, &pg) && pg.Code == unknownResolution:
-		return result{outcome: Unknown, state: pg.Code}
+		return result{outcome: Unknown, state: pg.Code + " " + pg.Message}
 	case errors.As(err, &pg):
 		ended := pg.Severity == "FATAL" && (pg.Code == adminShutdown || pg.Code == cannotConnectNow)
 		return result{outcome: Refused, state: pg.Code, ended: ended}
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -93,6 +93,20 @@
 	}))
 }
 
+// Guards against a planned promotion that refuses the next statement of the open
+// transaction that it waits for.
+func TestOpenTransactionGoesOnWhileNewWorkIsRefused(t *testing.T) {
+	f := newFixture(t, nil)
+	c := f.writer().query("BEGIN")
+	assert.Equal(t, byte(c.result().ready.Status), byte('T'))
+	f.auth.mu.Lock()
+	f.auth.writable = verdict.New(verdict.NotRun, verdict.NoPrimary, "no new work")
+	f.auth.mu.Unlock()
+	assert.Equal(t, byte(c.query("INSERT a").result().ready.Status), byte('T'))
+	assert.Equal(t, byte(c.query("COMMIT").result().ready.Status), byte('I'))
+	assert.Equal(t, f.writer().query("INSERT b").result().failure.GetReason(), string(verdict.NoPrimary))
+}
+
 func eventually(ok func() bool) bool {
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if ok() {
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -228,8 +228,10 @@
 	}
 	term, err := r.h.opt.Authority.Writable(r.start.Group, r.start.Server)
 	if err != nil {
-		if mayUseReplica {
-			// What is known of the server may be old; its status decides.
+		if mayUseReplica || r.inTx {
+			// What is known of the server may be old; its status decides. An open
+			// transaction goes on while a planned promotion waits for it; the
+			// confirmation of its commit decides.
 			return nil
 		}
 		return refusedBy(err)
