Probe addresses in one place, and encode the configuration only when asked for

peer.Refuses repeated member.ProbeTCP, and peer.NeverSent was unused. Readiness checks and the status page encoded the whole configuration and threw it away; only the peer call Status needs it.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -9,11 +9,9 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
-	"google.golang.org/grpc/status"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 )
@@ -29,8 +27,6 @@
 	dialTimeout = time.Second
 	// maxReconnectDelay keeps a returning host from waiting long for its peers.
 	maxReconnectDelay = time.Second
-	// probeTimeout bounds the probe of an address for refused connections.
-	probeTimeout = 300 * time.Millisecond
 	// maxMessageBytes is above the largest frontend message of a client.
 	maxMessageBytes = 20 << 20
 )
@@ -134,26 +130,3 @@
 		grpc.MaxSendMsgSize(maxMessageBytes),
 	}
 }
-
-// Refuses reports whether the address answers that no process listens there.
-// Silence is not a refusal: the host may be cut off.
-func Refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
-		return false
-	}
-	return errors.Is(err, errConnectionRefused)
-}
-
-// NeverSent reports whether a gRPC error says that the call cannot have reached
-// the peer.
-//
-// grpc-go reports Unavailable both for a connection that could not be made and
-// for one that broke after the message was written, so the code alone proves
-// nothing. Only a caller that has not yet sent a message may use it.
-func NeverSent(err error, messagesSent int) bool {
-	return messagesSent == 0 && status.Code(err) == codes.Unavailable
-}
--- a/internal/peer/refused_linux.go
+++ /dev/null
@@ -1,5 +0,0 @@
-package peer
-
-import "syscall"
-
-var errConnectionRefused error = syscall.ECONNREFUSED
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -21,6 +21,7 @@
 // statusSource is what the admin listener shows.
 type statusSource interface {
 	Status() report.Status
+	Ready() bool
 }
 
 // adminHandler serves metrics, health checks and the status page.
@@ -28,17 +29,15 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !source.Status().Ready {
+		if !source.Ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
 		_, _ = w.Write([]byte("ready\n"))
 	})
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
-		s := source.Status()
-		s.Configuration = ""
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(s)
+		_ = json.NewEncoder(w).Encode(source.Status())
 	})
 	mux.HandleFunc("GET /metrics.json", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/server/api.go
+++ b/internal/server/api.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 )
 
@@ -56,7 +57,15 @@
 }
 
 func (a peerAPI) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusResponse, error) {
-	data, err := json.Marshal(a.s.Status())
+	st := a.s.Status()
+	if doc := a.s.member.Document(); doc != nil {
+		encoded, err := config.Encode(doc)
+		if err != nil {
+			return nil, status.Error(codes.Internal, err.Error())
+		}
+		st.Configuration = string(encoded)
+	}
+	data, err := json.Marshal(st)
 	if err != nil {
 		return nil, status.Error(codes.Internal, err.Error())
 	}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -64,7 +64,7 @@
 }
 
 // Probe implements member.Peers.
-func (p *peers) Probe(ctx context.Context, address string) bool { return peer.Refuses(ctx, address) }
+func (p *peers) Probe(ctx context.Context, address string) bool { return member.ProbeTCP(ctx, address) }
 
 // Grant implements limit.Granter.
 func (p *peers) Grant(ctx context.Context, address string, r *peerpb.GrantRequest) (*peerpb.GrantResponse, error) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -389,9 +389,6 @@
 		return st
 	}
 	st.ConfigVersion = uint64(doc.Version)
-	if data, err := config.Encode(doc); err == nil {
-		st.Configuration = string(data)
-	}
 	for _, g := range doc.Inventory.Groups {
 		st.Groups = append(st.Groups, s.groupStatus(doc, g))
 	}
