Wait for the cancel request in a cancel test before its statement may end

Cause: TestCancelBeforeStatementIsSent released the blocked statement right after sending the cancel request. When the receiving goroutine was descheduled the statement ended first, and a cancel request after the answer has no effect by design. Ruled out: a lost or failed cancel delivery (the backend's log shows that none was due). Change: hold both statements back until the home host has noted the cancel.

--- a/internal/home/failure_test.go
+++ b/internal/home/failure_test.go
@@ -95,17 +95,35 @@
 	f := newFixture(t, slots(1))
 	tx := f.writer().query("BEGIN")
 	assert.Assert(t, tx.result().ready != nil)
-	unblock := f.srv.block("INSERT slow")
+	// Both statements are held back, because a cancel request that the home
+	// host reads only after the answer has no effect.
+	unblock := f.srv.block("INSERT")
 	slow := f.writer().query("INSERT slow")
 	f.srv.busy("INSERT slow")
 	tx.query("INSERT a")
 	assert.NilError(t, tx.s.Send(&peerpb.RunRequest{Kind: &peerpb.RunRequest_Cancel{Cancel: true}}))
+	assert.Assert(t, eventually(f.cancelNoted))
 	unblock()
 	assert.Assert(t, slow.result().ready != nil)
 	assert.Assert(t, tx.result().ready != nil)
 	assert.Assert(t, eventually(func() (ok bool) { f.srv.with(func() { ok = len(f.srv.cancels) == 1 }); return ok }))
 }
 
+// cancelNoted reports whether a cancel request waits for its statement to be
+// sent, or has reached the backend server.
+func (f *fixture) cancelNoted() (ok bool) {
+	f.srv.with(func() { ok = len(f.srv.cancels) > 0 })
+	p := f.home.pools[testServer.Name]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.runs {
+		r.activity.Lock()
+		ok = ok || r.activity.cancel
+		r.activity.Unlock()
+	}
+	return ok
+}
+
 // recovered reports whether all connections are open and none is silent.
 func (f *fixture) recovered() (ok bool) {
 	f.srv.with(func() {
