--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -59,6 +59,8 @@
 	Request RequestID
 	Conn    ConnID
 	Reason  verdict.Reason
+	// Customer owns the connection to open, where connections belong to customers.
+	Customer string
 }
 
 type requestState uint8
--- /dev/null
+++ b/internal/catalog/shell.go
@@ -0,0 +1,146 @@
+package catalog
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/clock"
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+)
+
+const (
+	// registryWait is how long the store may hold a poll of the registry. It
+	// bounds how long a connection that went silent hides a change.
+	registryWait = 2500 * time.Millisecond
+	// confirmations is the number of polls of the configuration within the key
+	// grace, so that a lost answer does not stop keyed requests.
+	confirmations = 4
+	// graceMarginPercent is kept back from the key grace for the difference of
+	// clocks and the time from the check to the backend server.
+	graceMarginPercent = 10
+	// expireInterval is how often missing servers are looked for.
+	expireInterval = 250 * time.Millisecond
+)
+
+// Options configure a Shell.
+type Options struct {
+	Sources  Sources
+	Zones    []string
+	Watcher  platform.Watcher
+	KeyGrace time.Duration
+	Clock    clock.Clock
+	Log      *log.Logger
+	Counters *telemetry.Counters
+}
+
+// Shell follows the configuration and the registry.
+type Shell struct {
+	opt Options
+
+	mu      sync.Mutex
+	catalog *Catalog
+	version config.Version
+	zones   int
+
+	snapshot atomic.Pointer[Snapshot]
+	// confirmed is the time of the last confirmation of the configuration, 0
+	// before the first.
+	confirmed atomic.Int64
+}
+
+// NewShell returns a Shell with an empty snapshot.
+func NewShell(opt Options) *Shell {
+	s := &Shell{opt: opt, catalog: New(opt.Sources, opt.Zones)}
+	s.snapshot.Store(s.catalog.Snapshot())
+	return s
+}
+
+// Snapshot returns the present view.
+func (s *Shell) Snapshot() *Snapshot { return s.snapshot.Load() }
+
+// KeysFresh reports whether keys may be accepted, and the age of the last
+// confirmation of the configuration.
+func (s *Shell) KeysFresh() (bool, time.Duration) {
+	at := time.Duration(s.confirmed.Load())
+	if at == 0 {
+		return false, 0
+	}
+	age := s.opt.Clock() - at
+	return age < s.opt.KeyGrace*(100-graceMarginPercent)/100, age
+}
+
+// Run follows the rows until ctx ends.
+func (s *Shell) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	follow := func(space string, wait time.Duration, apply func([]platform.Change, bool, time.Duration)) {
+		f := &platform.Follower{
+			Watcher: s.opt.Watcher, Space: space, Wait: wait, Clock: s.opt.Clock,
+			Log: s.opt.Log, Counters: s.opt.Counters, Apply: apply,
+		}
+		wg.Go(func() { f.Run(ctx) })
+	}
+	follow(s.opt.Sources.ConfigurationSpace(), s.opt.KeyGrace/confirmations, s.configuration)
+	follow(s.opt.Sources.RegistrySpace(), registryWait, s.registry)
+	t := time.NewTicker(expireInterval)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-t.C:
+			s.expire()
+		case <-ctx.Done():
+		}
+	}
+	wg.Wait()
+}
+
+func (s *Shell) configuration(rows []platform.Change, full bool, confirmed time.Duration) {
+	if len(rows) > 0 || full {
+		s.mu.Lock()
+		s.catalog.ConfigurationRows(rows, full)
+		s.publish()
+		s.mu.Unlock()
+	}
+	s.confirmed.Store(int64(confirmed))
+}
+
+func (s *Shell) registry(rows []platform.Change, full bool, _ time.Duration) {
+	if len(rows) == 0 && !full {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.catalog.RegistryRows(s.opt.Clock(), rows, full)
+	for _, r := range rows {
+		s.opt.Log.Info().Str("key", r.Key).Uint64("revision", uint64(r.Revision)).Bool("removed", r.Removed).Msg("registry entry changed")
+	}
+	s.publish()
+}
+
+func (s *Shell) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.catalog.Expire(s.opt.Clock()) {
+		s.opt.Log.Info().Msg("missing backend servers dropped")
+		s.publish()
+	}
+}
+
+// publish makes the present view the snapshot. The caller holds the lock.
+func (s *Shell) publish() {
+	for _, x := range s.catalog.Skipped() {
+		s.opt.Counters.Add("rows_undecoded", 1)
+		s.opt.Log.Warn().Str("key", x.Key).Err(x.Err).Msg("row skipped")
+	}
+	next := s.catalog.Snapshot()
+	s.snapshot.Store(next)
+	if next.Version() != s.version || len(next.ZonesOut) != s.zones {
+		s.version, s.zones = next.Version(), len(next.ZonesOut)
+		s.opt.Log.Info().Uint64("version", uint64(s.version)).Strs("zones_out", next.ZonesOut).Msg("configuration in force")
+	}
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -16,14 +16,18 @@
 func (a *app) serveCommand() *ff.Command {
 	flags := ff.NewFlagSet("serve")
 	settings := flags.String(0, "settings", "", "YAML file with this host's settings")
+	protocol := flags.StringEnum(0, "protocol", "protocol of callers and backend servers: postgresql or line", protocolPostgreSQL, protocolLine)
 	return &ff.Command{
 		Name:      "serve",
-		Usage:     "cranberryhinge serve --settings <FILE>",
+		Usage:     "cranberryhinge serve [--protocol <PROTOCOL>] --settings <FILE>",
 		ShortHelp: "run one host",
 		LongHelp: "The host stops gracefully on SIGTERM and SIGINT: it hands its roles over, refuses new\n" +
 			"sessions and lets open transactions end.\n\nEXAMPLE\n  cranberryhinge serve --settings examples/host.yaml",
 		Flags: flags,
 		Exec: func(ctx context.Context, _ []string) error {
+			if *protocol == protocolLine {
+				return a.serveLine(ctx, *settings)
+			}
 			if *settings == "" {
 				return usagef("--settings is missing")
 			}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -103,6 +103,17 @@
 	// RouteRead sends everything to a replica that satisfies session and
 	// staleness; a write fails at the backend server.
 	RouteRead RouteMode = "read"
+
+	// The following modes serve reads and writes on one route. They come from
+	// configuration sources other than the YAML files.
+
+	// RouteCurrent runs everything at the primary.
+	RouteCurrent RouteMode = "current"
+	// RouteBounded lets a replica serve reads whose data may be as old as
+	// Staleness.
+	RouteBounded RouteMode = "bounded"
+	// RouteOwnWrites is RouteBounded, and a session also reads its own writes.
+	RouteOwnWrites RouteMode = "own-writes"
 )
 
 // Route is what a caller names as its startup database.
@@ -121,6 +132,10 @@
 	Customers []string `yaml:"customers,omitempty"`
 	// Deadline bounds one statement, its wait in queues included.
 	Deadline Duration `yaml:"deadline"`
+	// Target is the latency that callers expect of an operation; 0 if unknown.
+	Target Duration `yaml:"-"`
+	// Priority orders waiting requests of different routes; 0 goes first.
+	Priority int `yaml:"-"`
 }
 
 // Limit is the load that a customer may send through all hosts together.
--- a/internal/config/index.go
+++ b/internal/config/index.go
@@ -12,6 +12,9 @@
 	Servers map[string][2]int
 }
 
+// BuildIndex indexes a document that was not decoded from YAML.
+func (d *Document) BuildIndex() { d.Index = newIndex(d) }
+
 func newIndex(d *Document) *Index {
 	x := &Index{
 		Groups: make(map[string]int, len(d.Inventory.Groups)), Routes: make(map[string]int, len(d.Rules.Routes)),
--- /dev/null
+++ b/internal/host/peers.go
@@ -0,0 +1,248 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	grpcpeer "google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/executor"
+	"github.com/cranberryhinge/cranberryhinge/internal/failover"
+	"github.com/cranberryhinge/cranberryhinge/internal/frontend"
+	"github.com/cranberryhinge/cranberryhinge/internal/ownership"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/routing"
+	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
+)
+
+const (
+	// pulseInterval is the interval of the heartbeats. Samples of the groups'
+	// positions travel with them, and have to be younger than the staleness
+	// bounds, of which the shortest in use is 1.5 s.
+	pulseInterval = 300 * time.Millisecond
+	// pulseTimeout bounds one heartbeat. One that takes longer shows a silent
+	// connection, which is replaced.
+	pulseTimeout = 250 * time.Millisecond
+	// pulsePeers is the number of hosts that are asked at random each time.
+	pulsePeers = 2
+	// pulseWorkers bounds the heartbeats in flight.
+	pulseWorkers = 24
+)
+
+// calls makes and answers the calls between hosts.
+type calls struct {
+	directory *directory
+	pool      *peer.Pool
+	executor  *executor.Executor
+	failover  *failover.Shell
+	frontend  *frontend.Frontend
+	counters  *telemetry.Counters
+	workers   pond.Pool
+
+	mu sync.Mutex
+	// suspects are hosts of which a call was overdue. They get a heartbeat next.
+	suspects map[string]bool
+}
+
+// View implements frontend.Fleet.
+func (c *calls) View(group string) routing.View { return c.directory.View(group) }
+
+// Owner implements frontend.Fleet.
+func (c *calls) Owner(group string) (routing.Host, bool) { return c.directory.Owner(group) }
+
+// Execute implements frontend.Fleet.
+func (c *calls) Execute(ctx context.Context, h routing.Host, req *peerpb.ExecuteRequest) (*peerpb.ExecuteResponse, error) {
+	self := c.directory.self
+	if h.Name == self.Name {
+		return c.executor.Execute(ctx, req), nil
+	}
+	if !c.directory.owners.Alive(h.Name) {
+		return nil, verdict.New(verdict.NotRun, verdict.HomeUnreachable, "host %s shows no sign of life", h.Name)
+	}
+	client, err := c.pool.Client(h.Address)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.HomeUnreachable, "host %s: %v", h.Name, err)
+	}
+	var p grpcpeer.Peer
+	resp, err := client.Execute(ctx, req, grpc.Peer(&p))
+	if err == nil {
+		return resp, nil
+	}
+	overdue := status.Code(err) == codes.DeadlineExceeded
+	if overdue {
+		c.suspect(h.Name)
+	}
+	switch {
+	case p.Addr == nil:
+		// The call was never given to a connection.
+		return nil, verdict.New(verdict.NotRun, verdict.HomeUnreachable, "host %s: %v", h.Name, status.Convert(err).Message())
+	case overdue:
+		return nil, verdict.New(verdict.MayHaveRun, verdict.AnswerOverdue, "host %s did not answer in time", h.Name)
+	}
+	return nil, verdict.New(verdict.MayHaveRun, verdict.ConnectionLost, "host %s: %v", h.Name, status.Convert(err).Message())
+}
+
+func (c *calls) suspect(host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspects[host] = true
+}
+
+// Grant implements limit.Granter.
+func (c *calls) Grant(ctx context.Context, address string, req *peerpb.GrantRequest) (*peerpb.GrantResponse, error) {
+	client, err := c.pool.Client(address)
+	if err != nil {
+		return nil, err
+	}
+	return client.Grant(ctx, req)
+}
+
+// pulse exchanges heartbeats until ctx ends.
+func (c *calls) pulse(ctx context.Context) {
+	t := time.NewTicker(pulseInterval)
+	defer t.Stop()
+	for {
+		c.round(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// round sends one heartbeat to each chosen host.
+func (c *calls) round(ctx context.Context) {
+	now := c.directory.clock()
+	for _, s := range c.failover.States() {
+		c.observe(now, s)
+	}
+	others := c.directory.owners.Others()
+	addresses := make(map[string]bool, len(others))
+	for _, h := range others {
+		addresses[h.Address] = true
+	}
+	c.pool.Retain(addresses)
+	for _, h := range c.chosen(others) {
+		if _, ok := c.workers.TrySubmit(func() { c.heartbeat(ctx, h) }); !ok {
+			c.counters.Add("heartbeats_skipped", 1)
+		}
+	}
+}
+
+// chosen returns some hosts at random, the owners of the groups and those that
+// are suspected.
+func (c *calls) chosen(others []ownership.Host) []ownership.Host {
+	c.mu.Lock()
+	suspects := c.suspects
+	c.suspects = map[string]bool{}
+	c.mu.Unlock()
+	owners := map[string]bool{}
+	for _, g := range c.directory.GroupNames() {
+		if h, ok := c.directory.owners.Holder(failover.Role(g)); ok {
+			owners[h.Name] = true
+		}
+	}
+	var out []ownership.Host
+	random := pulsePeers
+	for _, i := range rand.Perm(len(others)) {
+		h := others[i]
+		switch {
+		case owners[h.Name] || suspects[h.Name]:
+			out = append(out, h)
+		case random > 0:
+			random--
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (c *calls) heartbeat(ctx context.Context, h ownership.Host) {
+	client, err := c.pool.Client(h.Address)
+	if err != nil {
+		c.counters.Add("heartbeats_failed", 1)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, pulseTimeout)
+	defer cancel()
+	sent := c.directory.clock()
+	resp, err := client.Pulse(ctx, &peerpb.PulseRequest{Beats: toWire(c.directory.owners.Exchange(nil))})
+	if err != nil {
+		c.counters.Add("heartbeats_failed", 1)
+		if status.Code(err) == codes.DeadlineExceeded {
+			c.pool.Reset(h.Address)
+		}
+		return
+	}
+	c.directory.owners.Exchange(fromWire(resp.GetBeats()))
+	for _, g := range resp.GetGroups() {
+		c.observe(sent, failover.State{
+			Group: g.GetGroup(), Epoch: g.GetEpoch(), Primary: g.GetPrimary(), Age: time.Duration(g.GetAgeUs()) * time.Microsecond,
+			Position: statement.Position{Term: g.GetPosition().GetTerm(), Number: g.GetPosition().GetPosition()},
+		})
+	}
+}
+
+// observe takes the state of a group in that its owner had at the time.
+func (c *calls) observe(at time.Duration, s failover.State) {
+	c.directory.primaryIs(s.Group, s.Primary, s.Epoch)
+	c.frontend.Observe(s.Group, at-s.Age, s.Position)
+}
+
+func toWire(beats []ownership.Beat) []*peerpb.Beat {
+	out := make([]*peerpb.Beat, len(beats))
+	for i, b := range beats {
+		out[i] = &peerpb.Beat{Host: b.Host, Incarnation: b.Incarnation, Counter: b.Counter, Leaving: b.Leaving}
+	}
+	return out
+}
+
+func fromWire(beats []*peerpb.Beat) []ownership.Beat {
+	out := make([]ownership.Beat, len(beats))
+	for i, b := range beats {
+		out[i] = ownership.Beat{Host: b.GetHost(), Incarnation: b.GetIncarnation(), Counter: b.GetCounter(), Leaving: b.GetLeaving()}
+	}
+	return out
+}
+
+// api serves the calls of other hosts. Calls of the PostgreSQL protocol stay
+// unimplemented.
+type api struct {
+	peerpb.UnimplementedPeerServer
+	c       *calls
+	minters minterCalls
+}
+
+// minterCalls serves Grant.
+type minterCalls interface {
+	Grant(ctx context.Context, req *peerpb.GrantRequest) (*peerpb.GrantResponse, error)
+}
+
+func (a api) Execute(ctx context.Context, req *peerpb.ExecuteRequest) (*peerpb.ExecuteResponse, error) {
+	return a.c.executor.Execute(ctx, req), nil
+}
+
+func (a api) Grant(ctx context.Context, req *peerpb.GrantRequest) (*peerpb.GrantResponse, error) {
+	return a.minters.Grant(ctx, req)
+}
+
+func (a api) Pulse(_ context.Context, req *peerpb.PulseRequest) (*peerpb.PulseResponse, error) {
+	resp := &peerpb.PulseResponse{Beats: toWire(a.c.directory.owners.Exchange(fromWire(req.GetBeats())))}
+	for _, s := range a.c.failover.States() {
+		resp.Groups = append(resp.Groups, &peerpb.GroupState{
+			Group: s.Group, Epoch: s.Epoch, Primary: s.Primary, AgeUs: s.Age.Microseconds(),
+			Position: &peerpb.Token{Group: s.Group, Term: s.Position.Term, Position: s.Position.Number},
+		})
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/internal/host/settings.go
@@ -0,0 +1,90 @@
+package host
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
+)
+
+// Settings are the settings of a host that serves typed statements.
+type Settings struct {
+	// Name is the host's name. It must be unique.
+	Name string `yaml:"name"`
+	// Zone is the host's availability zone, Zones are all zones.
+	Zone  string   `yaml:"zone"`
+	Zones []string `yaml:"zones"`
+	// Listen are the addresses, as IP:port, for callers, other hosts, the
+	// readiness probe and metrics.
+	Listen ListenSettings `yaml:"listen"`
+	// Store is the address of the store, Promotion that of the service that
+	// carries promotions out.
+	Store     string `yaml:"store"`
+	Promotion string `yaml:"promotion"`
+	// KeyGrace bounds the age of the confirmation with which keys are accepted.
+	KeyGrace config.Duration `yaml:"key_grace"`
+	// StopGrace is the time from SIGTERM to the end of the process.
+	StopGrace config.Duration `yaml:"stop_grace"`
+	// MemoryMB and Descriptors are the limits of the process.
+	MemoryMB    int    `yaml:"memory_mb"`
+	Descriptors int    `yaml:"descriptors"`
+	Cores       int    `yaml:"cores"`
+	LogLevel    string `yaml:"log_level"`
+}
+
+// ListenSettings are the addresses of the listeners.
+type ListenSettings struct {
+	Client  string `yaml:"client"`
+	Peer    string `yaml:"peer"`
+	Ready   string `yaml:"ready"`
+	Metrics string `yaml:"metrics"`
+}
+
+// LoadSettings reads settings strictly and checks them.
+func LoadSettings(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	var s Settings
+	if err := config.DecodeStrict(path, data, &s); err != nil {
+		return Settings{}, err
+	}
+	return s, s.Check()
+}
+
+// Check reports the first setting that is missing or wrong.
+func (s *Settings) Check() error {
+	for _, a := range []struct{ name, value string }{
+		{"listen.client", s.Listen.Client},
+		{"listen.peer", s.Listen.Peer},
+		{"listen.ready", s.Listen.Ready},
+		{"listen.metrics", s.Listen.Metrics},
+		{"store", s.Store},
+		{"promotion", s.Promotion},
+	} {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return errors.Errorf("setting %s: %q is not IP:port", a.name, a.value)
+		}
+	}
+	listed := false
+	for _, z := range s.Zones {
+		listed = listed || z == s.Zone
+	}
+	switch {
+	case s.Name == "":
+		return errors.New("setting name is missing")
+	case !listed:
+		return errors.Errorf("setting zone: %q is not one of zones", s.Zone)
+	case s.KeyGrace.Std() < time.Second:
+		return errors.Errorf("setting key_grace: %v is less than 1s, which no host can keep to", s.KeyGrace.Std())
+	case s.StopGrace.Std() < time.Second:
+		return errors.Errorf("setting stop_grace: %v is less than 1s", s.StopGrace.Std())
+	case s.MemoryMB <= 0 || s.Descriptors <= 0 || s.Cores <= 0:
+		return errors.New("settings memory_mb, descriptors and cores must be positive")
+	}
+	return nil
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -65,7 +65,18 @@
 	Cancelled           Reason = "cancelled"
 	TooManyClients      Reason = "too_many_clients"
 	IdleTransactionTime Reason = "idle_transaction_timeout"
-	Internal            Reason = "internal"
+	// TransactionAborted says that a transaction was rolled back, so that nothing
+	// of it is kept.
+	TransactionAborted Reason = "transaction_aborted"
+	// ReadOnly says that the server has lost, or never had, the lead.
+	ReadOnly         Reason = "read_only"
+	ServerBusy       Reason = "server_busy"
+	ConnectionLimit  Reason = "connection_limit"
+	WrongServer      Reason = "wrong_server"
+	UnknownStatement Reason = "unknown_statement"
+	// StatementFailed says that the server ran the statement and reports failure.
+	StatementFailed Reason = "statement_failed"
+	Internal        Reason = "internal"
 )
 
 // sqlStates maps each Reason to the SQLSTATE sent when the request did not run.
@@ -98,6 +109,13 @@
 	Cancelled:           "57014",
 	TooManyClients:      "53300",
 	IdleTransactionTime: "25P03",
+	TransactionAborted:  "40000",
+	ReadOnly:            "25006",
+	ServerBusy:          "53300",
+	ConnectionLimit:     "53300",
+	WrongServer:         "57P03",
+	UnknownStatement:    "26000",
+	StatementFailed:     "XX000",
 	Internal:            "XX000",
 }
 
