Ask for one epoch at a time, and let a reconnected host settle before claims

The test of takeovers also showed a host that was cut off and takes roles back before it has heard their holders. Change: a changed row ends the request; a host that heard nobody for a while settles as after a start.

--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -22,9 +22,9 @@
 	// PollWait is how long the store may hold a poll of the roles. One lost
 	// answer and the next poll fit into the lease.
 	PollWait = 1200 * time.Millisecond
-	// settleTime is how long a host that has just started leaves vacant roles
-	// alone, so that hosts that start together know of each other first. They
-	// start within 0.3 s of each other.
+	// settleTime is how long a host that has just started, or that has heard
+	// nobody for a while, leaves vacant roles alone, so that it knows of the
+	// others first. Hosts that start together do so within 0.3 s.
 	settleTime = 1200 * time.Millisecond
 	// claimStep is the delay of a claim for each better ranked host.
 	claimStep = 400 * time.Millisecond
@@ -32,17 +32,19 @@
 	// again if it is still due.
 	writeTimeout = time.Second
 	// countedFor is how long a silent host counts in the share of the hosts that
-	// a host must hear to take a role over.
-	countedFor = 8 * time.Second
+	// a host must hear to take a role over. It is above the length of most cuts.
+	countedFor = 15 * time.Second
 	// smallFleet is the number of hosts up to which signs of life are at most
 	// about 0.6 s old.
-	smallFleet      = 32
-	suspectSmall    = 1200 * time.Millisecond
-	suspectLarge    = 2500 * time.Millisecond
-	roleSegment     = "role/"
-	hostSegment     = "host/"
-	minReachableNum = 1 // a host must hear more than
-	minReachableDen = 3 // a third of the hosts to take a role over
+	smallFleet   = 32
+	suspectSmall = 1200 * time.Millisecond
+	suspectLarge = 2500 * time.Millisecond
+	// heardShare is the reciprocal of the share of the hosts that a host must hear
+	// more than, itself included, to take a role over.
+	heardShare = 3
+
+	roleSegment = "role/"
+	hostSegment = "host/"
 )
 
 // Host is one process of the deployment.
@@ -119,7 +121,9 @@
 	counter   uint64
 	confirmed time.Duration
 	known     bool // the rows have been read since the start
-	started   time.Duration
+	// lastHeard is the time of the newest sign of life of any other host, resumed
+	// the time since which this host has heard others without a long pause.
+	lastHeard, resumed time.Duration
 
 	wanted map[string]Spec
 	// vacant holds the time since which a wanted role has had no live holder.
@@ -136,7 +140,7 @@
 // NewMachine returns a Machine that knows nothing. Space is the space of its rows.
 func NewMachine(now time.Duration, self Host, space string) *Machine {
 	return &Machine{
-		self: self, space: space, started: now,
+		self: self, space: space, resumed: now,
 		hosts: map[string]*hostRow{}, roles: map[string]*roleRow{}, beats: map[string]*signOfLife{},
 		wanted: map[string]Spec{}, vacant: map[string]time.Duration{}, pending: map[string]time.Duration{},
 		advance: map[string]bool{}, ceded: map[string]bool{},
@@ -223,9 +227,7 @@
 		return false
 	}
 	m.roles[name] = r
-	if !m.own(r) {
-		delete(m.advance, name)
-	}
+	delete(m.advance, name)
 	return true
 }
 
@@ -255,6 +257,11 @@
 			continue
 		}
 		m.beats[b.Host] = &signOfLife{Beat: b, at: now}
+		if now-m.lastHeard > m.suspectAfter() {
+			// What was known of the others is as old as the pause was long.
+			m.resumed = now
+		}
+		m.lastHeard = now
 	}
 }
 
@@ -541,7 +548,7 @@
 	}
 	rank := slices.IndexFunc(m.Rank(now, name, m.wanted[name].Zone), func(h Host) bool { return h == m.self })
 	mine := r != nil && r.Holder == m.self.Name
-	if !mine && (rank < 0 || now-m.started < settleTime || now-since < time.Duration(rank)*claimStep || !m.hearsEnough(now)) {
+	if !mine && (rank < 0 || now-m.resumed < settleTime || now-since < time.Duration(rank)*claimStep || !m.hearsEnough(now)) {
 		return Write{}, false
 	}
 	next := Role{Holder: m.self.Name, Incarnation: m.self.Incarnation, Address: m.self.Address, Epoch: 1, Immediate: immediate}
@@ -561,15 +568,15 @@
 			counted++
 			continue
 		}
-		silentSince := m.started
+		silentSince := m.resumed
 		if b, ok := m.beats[r.Name]; ok {
-			silentSince = b.at
+			silentSince = max(b.at, m.resumed)
 		}
 		if now-silentSince < countedFor {
 			counted++
 		}
 	}
-	return heard*minReachableDen > counted*minReachableNum
+	return heard*heardShare > counted
 }
 
 func (m *Machine) roleUpdate(name string, r *roleRow, next Role, why string) Write {
