Release roles without the store, and date polls by the store's clock

A poll confirmed only what was known when it was sent, up to 1.2 s before its answer. Change: a host whose confirmation is old while others are in touch with the store gives its roles up by heartbeat, and they are claimed without a wait. The store's steady clock tells when an answer was made.

--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,42 @@
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a long poll that confirms only what was known when it was sent:
+// half of the lease would be used up when the answer arrives.
+func TestRemoteDatesAPollByItsAnswer(t *testing.T) {
+	var r Remote
+	const ms = time.Millisecond
+	// The remote clock is 50 s behind. A quick call takes 4 ms.
+	r.Before(100_000*ms, 100_004*ms, 50_002*ms)
+	got := r.Before(100_010*ms, 101_214*ms, 51_212*ms)
+	assert.Assert(t, got <= 101_212*ms, "%v is after the answer", got)
+	assert.Assert(t, got >= 101_150*ms, "%v is long before the answer", got)
+}
+
+// Guards against a date after the true one when the clocks drift or when only
+// slow answers are known.
+func TestRemoteIsNeverLate(t *testing.T) {
+	for _, rate := range []float64{0.985, 1, 1.015} {
+		var r Remote
+		own := 10 * time.Second
+		remote := func(own time.Duration) time.Duration { return time.Duration(float64(own) * rate) }
+		for i := range 200 {
+			wait := time.Duration(i%7) * 200 * time.Millisecond
+			sent, stamped, received := own, own+wait, own+wait+2*time.Millisecond
+			got := r.Before(sent, received, remote(stamped))
+			assert.Assert(t, got <= stamped && got >= sent, "call %d at rate %v: %v, sent %v, stamped %v", i, rate, got, sent, stamped)
+			own = received
+		}
+	}
+}
+
+func TestMargins(t *testing.T) {
+	assert.Assert(t, Longer(3*time.Second) > 3*time.Second)
+	assert.Assert(t, Shorter(3*time.Second) < 3*time.Second)
+}
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -202,7 +202,7 @@
 func toWire(beats []ownership.Beat) []*peerpb.Beat {
 	out := make([]*peerpb.Beat, len(beats))
 	for i, b := range beats {
-		out[i] = &peerpb.Beat{Host: b.Host, Incarnation: b.Incarnation, Counter: b.Counter, Leaving: b.Leaving}
+		out[i] = &peerpb.Beat{Host: b.Host, Incarnation: b.Incarnation, Counter: b.Counter, Leaving: b.Leaving, Fresh: b.Fresh, Released: b.Released}
 	}
 	return out
 }
@@ -210,7 +210,7 @@
 func fromWire(beats []*peerpb.Beat) []ownership.Beat {
 	out := make([]ownership.Beat, len(beats))
 	for i, b := range beats {
-		out[i] = ownership.Beat{Host: b.GetHost(), Incarnation: b.GetIncarnation(), Counter: b.GetCounter(), Leaving: b.GetLeaving()}
+		out[i] = ownership.Beat{Host: b.GetHost(), Incarnation: b.GetIncarnation(), Counter: b.GetCounter(), Leaving: b.GetLeaving(), Fresh: b.GetFresh(), Released: b.GetReleased()}
 	}
 	return out
 }
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -28,6 +28,14 @@
 	settleTime = 1200 * time.Millisecond
 	// claimStep is the delay of a claim for each better ranked host.
 	claimStep = 400 * time.Millisecond
+	// freshFor is the age of the confirmation up to which a host counts as being
+	// in touch with the store.
+	freshFor = 900 * time.Millisecond
+	// releaseAfter is the age of the confirmation at which a host releases its
+	// roles to hosts that are in touch with the store. At the beginning of an
+	// outage of the whole store no host is fresh by then, because the ages differ
+	// by at most one poll.
+	releaseAfter = 2600 * time.Millisecond
 	// writeTimeout is the time after which a write without an answer is sent
 	// again if it is still due.
 	writeTimeout = time.Second
@@ -73,6 +81,11 @@
 	Incarnation uint64
 	Counter     uint64
 	Leaving     bool
+	// Fresh says that the host had a recent confirmation of the rows.
+	Fresh bool
+	// Released holds roles, with their epochs, that the host holds by the rows
+	// and has stopped using for good.
+	Released map[string]uint64
 }
 
 // Spec is a role that some host should hold.
@@ -99,6 +112,7 @@
 
 type roleRow struct {
 	Role
+	name     string
 	revision platform.Revision
 	// seen is when this host first saw the row.
 	seen time.Duration
@@ -130,8 +144,9 @@
 	vacant  map[string]time.Duration
 	pending map[string]time.Duration // by key: time of the write under way
 	advance map[string]bool
-	ceded   map[string]bool
-	leaving bool
+	// released holds the epochs up to which this host has stopped using a role.
+	released map[string]uint64
+	leaving  bool
 	// registered is set once the own row has been seen; replaced once another
 	// process has taken the name since.
 	registered, replaced bool
@@ -143,7 +158,7 @@
 		self: self, space: space, resumed: now,
 		hosts: map[string]*hostRow{}, roles: map[string]*roleRow{}, beats: map[string]*signOfLife{},
 		wanted: map[string]Spec{}, vacant: map[string]time.Duration{}, pending: map[string]time.Duration{},
-		advance: map[string]bool{}, ceded: map[string]bool{},
+		advance: map[string]bool{}, released: map[string]uint64{},
 	}
 }
 
@@ -222,7 +237,7 @@
 		delete(m.roles, name)
 		return true
 	}
-	r := &roleRow{revision: c.Revision, seen: now}
+	r := &roleRow{name: name, revision: c.Revision, seen: now}
 	if json.Unmarshal(c.Value, &r.Role) != nil {
 		return false
 	}
@@ -272,9 +287,21 @@
 }
 
 // Statements returns the signs of life to pass on, the own one included.
-func (m *Machine) Statements() []Beat {
+func (m *Machine) Statements(now time.Duration) []Beat {
 	m.counter++
-	out := []Beat{{Host: m.self.Name, Incarnation: m.self.Incarnation, Counter: m.counter, Leaving: m.leaving}}
+	own := Beat{
+		Host: m.self.Name, Incarnation: m.self.Incarnation, Counter: m.counter, Leaving: m.leaving,
+		Fresh: m.known && now-m.confirmed < freshFor,
+	}
+	for name, r := range m.roles {
+		if m.own(r) && m.released[name] >= r.Epoch {
+			if own.Released == nil {
+				own.Released = map[string]uint64{}
+			}
+			own.Released[name] = r.Epoch
+		}
+	}
+	out := []Beat{own}
 	for _, b := range m.beats {
 		out = append(out, b.Beat)
 	}
@@ -364,7 +391,7 @@
 // Held returns the epoch of a role that this host may use now.
 func (m *Machine) Held(now time.Duration, role string) (epoch uint64, ok bool) {
 	r, known := m.roles[role]
-	if !known || !m.own(r) || m.ceded[role] || !r.settled(now) || now >= m.LeaseUntil() {
+	if !known || !m.own(r) || m.released[role] >= r.Epoch || !r.settled(now) || now >= m.LeaseUntil() {
 		return 0, false
 	}
 	return r.Epoch, true
@@ -389,7 +416,7 @@
 	live := m.Live(now)
 	local := live[:0:0]
 	for _, h := range live {
-		if h.Zone == zone {
+		if h.Zone == zone && !m.releasing(now, h) {
 			local = append(local, h)
 		}
 	}
@@ -406,6 +433,15 @@
 	return live
 }
 
+// releasing reports whether a host has lost the store and gives its roles up.
+func (m *Machine) releasing(now time.Duration, h Host) bool {
+	if h.Name == m.self.Name {
+		return now-m.confirmed >= releaseAfter
+	}
+	b, ok := m.beats[h.Name]
+	return ok && len(b.Released) > 0
+}
+
 // Advance asks for a new epoch of a role that is held here.
 func (m *Machine) Advance(role string) { m.advance[role] = true }
 
@@ -434,6 +470,7 @@
 	if !m.known || m.replaced {
 		return nil
 	}
+	m.releaseUnconfirmed(now)
 	var out []Write
 	add := func(w Write) {
 		if at, ok := m.pending[w.Key]; ok && now-at < writeTimeout {
@@ -458,6 +495,30 @@
 	return out
 }
 
+// releaseUnconfirmed gives the roles up when this host has lost the store and
+// others have not. What is released stays so, because another host may claim it
+// without a wait.
+func (m *Machine) releaseUnconfirmed(now time.Duration) {
+	if now-m.confirmed < releaseAfter || !m.othersFresh(now) {
+		return
+	}
+	for name, r := range m.roles {
+		if m.own(r) {
+			m.released[name] = max(m.released[name], r.Epoch)
+		}
+	}
+}
+
+// othersFresh reports whether another host is in touch with the store.
+func (m *Machine) othersFresh(now time.Duration) bool {
+	for _, b := range m.beats {
+		if b.Fresh && now-b.at < m.suspectAfter()/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // register writes the own host row.
 func (m *Machine) register() (Write, bool) {
 	r, ok := m.hosts[m.self.Name]
@@ -507,14 +568,19 @@
 			return Write{}, false
 		}
 		// From here on the role is not used here, whatever becomes of the write.
-		m.ceded[name] = true
+		m.released[name] = r.Epoch
 		next.Holder, next.Incarnation, next.Address = ranked[0].Name, ranked[0].Incarnation, ranked[0].Address
 		return m.roleUpdate(name, r, next, "cede to "+next.Holder), true
 	}
-	if !m.advance[name] || !r.settled(now) || m.ceded[name] {
+	switch {
+	case !r.settled(now):
 		return Write{}, false
+	case m.released[name] >= r.Epoch && now-m.confirmed < freshFor:
+		return m.roleUpdate(name, r, next, "take back"), true
+	case m.advance[name] && m.released[name] < r.Epoch:
+		return m.roleUpdate(name, r, next, "new epoch"), true
 	}
-	return m.roleUpdate(name, r, next, "new epoch"), true
+	return Write{}, false
 }
 
 // vacancy says why a role may be claimed, empty if it may not, and whether its
@@ -535,10 +601,18 @@
 		return "holder has restarted", h.Address == r.Address && r.settled(now)
 	case !m.alive(now, h.Host):
 		return "holder is silent", false
+	case m.hasReleased(h.Host, r):
+		return "holder has released it", r.settled(now)
 	}
 	return "", false
 }
 
+// hasReleased reports whether the holder says that it has stopped using the role.
+func (m *Machine) hasReleased(h Host, r *roleRow) bool {
+	b, ok := m.beats[h.Name]
+	return ok && b.Incarnation == h.Incarnation && b.Released[r.name] == r.Epoch && r.Epoch > 0
+}
+
 // claim takes a vacant role over, unless a better ranked host is about to.
 func (m *Machine) claim(now time.Duration, name string, r *roleRow, why string, immediate bool) (Write, bool) {
 	since, ok := m.vacant[name]
--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -43,12 +43,13 @@
 	now   time.Duration
 	store *fakeStore
 	hosts []*Machine
-	// cut hosts neither reach the store nor hear others.
-	cut map[*Machine]bool
+	// cut hosts neither reach the store nor hear others. Those that are only
+	// storeless hear others.
+	cut, storeless map[*Machine]bool
 }
 
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{t: t, now: time.Minute, store: &fakeStore{rows: map[string]platform.Row{}}, cut: map[*Machine]bool{}}
+	f := &fleet{t: t, now: time.Minute, store: &fakeStore{rows: map[string]platform.Row{}}, cut: map[*Machine]bool{}, storeless: map[*Machine]bool{}}
 	for i := range n {
 		f.hosts = append(f.hosts, f.machine(fmt.Sprintf("h%d", i), 1))
 	}
@@ -71,14 +72,18 @@
 				m.Tick(f.now) // its writes do not arrive
 				continue
 			}
-			m.Rows(f.now, f.now, f.store.all(), true)
+			if !f.storeless[m] {
+				m.Rows(f.now, f.now, f.store.all(), true)
+			}
 			for _, other := range f.hosts {
 				if other != m && !f.cut[other] {
-					other.Beats(f.now, m.Statements())
+					other.Beats(f.now, m.Statements(f.now))
 				}
 			}
 			for _, w := range m.Tick(f.now) {
-				f.store.apply(w)
+				if !f.storeless[m] {
+					f.store.apply(w)
+				}
 				m.Done(w.Key)
 			}
 		}
@@ -212,3 +217,37 @@
 		}
 	}
 }
+
+// Guards against a role that stays with a host which has lost the store while
+// others have not, and against a wait in that case.
+func TestHostWithoutStoreReleasesItsRole(t *testing.T) {
+	f := newFleet(t, 4)
+	f.step(3 * time.Second)
+	old := f.holder()
+	f.storeless[old] = true
+	f.step(releaseAfter + 500*time.Millisecond)
+	next := f.holder()
+	assert.Assert(t, next != nil && next != old)
+	f.storeless[old] = false
+	f.step(3 * time.Second)
+	assert.Equal(t, f.holder(), next)
+}
+
+// Guards against roles that are released when the whole store is down: nobody
+// could claim them.
+func TestStoreOutageReleasesNothing(t *testing.T) {
+	f := newFleet(t, 4)
+	f.step(3 * time.Second)
+	old := f.holder()
+	for _, m := range f.hosts {
+		f.storeless[m] = true
+	}
+	f.step(releaseAfter + 200*time.Millisecond)
+	assert.Equal(t, f.holder(), old)
+	f.step(2 * time.Second)
+	for _, m := range f.hosts {
+		f.storeless[m] = false
+	}
+	f.step(time.Second)
+	assert.Equal(t, f.holder(), old)
+}
--- a/internal/ownership/shell.go
+++ b/internal/ownership/shell.go
@@ -184,8 +184,9 @@
 func (s *Shell) Exchange(in []Beat) []Beat {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.machine.Beats(s.opt.Clock(), in)
-	return s.machine.Statements()
+	now := s.opt.Clock()
+	s.machine.Beats(now, in)
+	return s.machine.Statements(now)
 }
 
 // Others returns all other hosts.
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -23,9 +23,14 @@
 	// mergePause is the pause after an answer with changes. Changes that come in
 	// quick succession, as when all hosts start, then share an answer.
 	mergePause = 30 * time.Millisecond
+	// quickInterval is how often a poll asks for no wait, which dates the answers
+	// of the others closely.
+	quickInterval = 15 * time.Second
 )
 
-// Follower keeps up with a space of rows by long polls.
+// Follower keeps up with a space of rows by long polls. An answer shows the space
+// as it was when the store stamped it; the stamp tells when that was on the own
+// clock.
 type Follower struct {
 	Watcher Watcher
 	Space   string
@@ -35,12 +40,16 @@
 	Clock    clock.Clock
 	Log      *log.Logger
 	Counters *telemetry.Counters
-	// Apply takes changes in. Full says that the rows are all there are. The
-	// space was as the rows say at the time confirmed or later.
+	// Apply takes changes in. Full says that the rows are all there are. All
+	// changes that were made before the time confirmed are among them.
 	Apply func(rows []Change, full bool, confirmed time.Duration)
 
 	revision Revision
 	lost     bool
+	// store dates the answers.
+	store clock.Remote
+	// quick is the time of the last call that asked for no wait.
+	quick time.Duration
 }
 
 // Run follows the space until ctx ends.
@@ -71,8 +80,8 @@
 // step makes one call.
 func (f *Follower) step(ctx context.Context, sent time.Duration) error {
 	wait := f.Wait
-	if f.revision == 0 {
-		wait = 0
+	if f.revision == 0 || sent-f.quick >= quickInterval {
+		wait, f.quick = 0, sent
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
@@ -83,7 +92,7 @@
 			return err
 		}
 		f.revision = c.Revision
-		f.Apply(c.Rows, true, sent)
+		f.Apply(c.Rows, true, f.store.Before(sent, f.Clock(), c.Stamp))
 		return nil
 	}
 	c, err := f.Watcher.Watch(ctx, f.Space, f.revision, wait)
@@ -91,7 +100,7 @@
 		return err
 	}
 	f.revision = max(f.revision, c.Revision)
-	f.Apply(c.Rows, false, sent)
+	f.Apply(c.Rows, false, f.store.Before(sent, f.Clock(), c.Stamp))
 	if len(c.Rows) > 0 {
 		sleep(ctx, mergePause)
 	}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -17,6 +17,8 @@
 type Changes struct {
 	Rows     []Change
 	Revision Revision
+	// Stamp is the store's steady clock at the time of the answer.
+	Stamp time.Duration
 }
 
 // ErrHistoryLost reports that the changes after a revision are no longer known,
