Open connections in fair order, and drop those of servers at home elsewhere

A test of a busy customer also showed that a customer without a connection got none while others had work. Change: the waiter that goes next gets its connection opened in its slot; a home host drops idle connections of servers that are at home elsewhere, and a rejected connection bounds the number for a second.

--- a/internal/backend/dispatcher.go
+++ b/internal/backend/dispatcher.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -20,6 +21,10 @@
 	nextConn ConnID
 	// gone counts connections that are being closed and still count at the server.
 	gone int
+	// learned bounds the connections until learnedUntil, after the server has
+	// rejected one because of those of other hosts.
+	learned      int
+	learnedUntil time.Duration
 
 	requests map[RequestID]*dispatchRequest
 	queue    []*dispatchRequest
@@ -77,7 +82,17 @@
 
 func (d *Dispatcher) slots() int { return max(d.settings.Slots, 1) + overlap }
 
-func (d *Dispatcher) budget() int { return max(d.settings.Connections-MonitorConnections, 1) }
+// learnedFor is how long a rejected connection bounds the number of connections.
+// A host that is no longer the home host closes its own within that time.
+const learnedFor = time.Second
+
+func (d *Dispatcher) budget(now time.Duration) int {
+	n := max(d.settings.Connections-MonitorConnections, 1)
+	if now < d.learnedUntil {
+		n = min(n, max(d.learned, 1))
+	}
+	return n
+}
 
 // Waiting returns the number of waiting requests, Running that of used slots and
 // Connections that of connections.
@@ -203,6 +218,7 @@
 func (d *Dispatcher) Opened(now time.Duration, id ConnID) []Action {
 	d.out = d.out[:0]
 	if c, ok := d.conns[id]; ok && c.opening {
+		d.account(c.customer).used += now - c.used
 		c.opening, c.used = false, now
 		d.running--
 	}
@@ -219,6 +235,9 @@
 	}
 	delete(d.conns, id)
 	d.running--
+	if reason == verdict.ConnectionLimit {
+		d.learned, d.learnedUntil = len(d.conns), now+learnedFor
+	}
 	if !d.hasConn(c.customer) {
 		for _, r := range append([]*dispatchRequest(nil), d.queue...) {
 			if r.customer == c.customer && r.state == waitsForConn {
@@ -280,36 +299,63 @@
 	d.account(r.customer).used += took
 }
 
-// dispatch starts what can run now and opens connections for what cannot.
+// dispatch gives the free slots to the waiters that go next. A waiter whose
+// customer has no idle connection gets one opened in its slot, so that a customer
+// without connections is not passed over for ever.
 func (d *Dispatcher) dispatch(now time.Duration) []Action {
-	for d.running < d.slots() {
-		r, c := d.choose()
-		if r == nil {
-			break
-		}
-		d.start(now, r, c)
+	for d.running < d.slots() && d.startNext(now) {
 	}
-	d.open(now)
 	return d.out
 }
 
-// choose returns the waiter that goes next and the connection that it uses.
-// Statements of open transactions go before new requests.
-func (d *Dispatcher) choose() (*dispatchRequest, *dispatchConn) {
-	var best *dispatchRequest
-	var conn *dispatchConn
-	for _, r := range d.queue {
+// startNext starts one waiter, or opens one connection, and reports whether it
+// did.
+func (d *Dispatcher) startNext(now time.Duration) bool {
+	coming := map[string]int{}
+	for _, c := range d.conns {
+		if c.opening {
+			coming[c.customer]++
+		}
+	}
+	for _, r := range d.ordered() {
 		if r.state == waitsForSlot {
-			return r, r.conn
+			d.start(now, r, r.conn)
+			return true
 		}
-		if best != nil && !d.before(r, best) {
+		if c := d.idle(r.customer); c != nil {
+			d.start(now, r, c)
+			return true
+		}
+		if coming[r.customer] > 0 {
+			coming[r.customer]--
 			continue
 		}
-		if c := d.idle(r.customer); c != nil {
-			best, conn = r, c
+		if d.account(r.customer).held < d.pinCap(now) && d.makeRoom(now, r.customer) {
+			d.open(now, r.customer)
+			return true
 		}
 	}
-	return best, conn
+	return false
+}
+
+// ordered returns the waiters in the order in which they go: statements of open
+// transactions before new requests, then by priority and the customer's use.
+func (d *Dispatcher) ordered() []*dispatchRequest {
+	all := slices.Clone(d.queue)
+	slices.SortStableFunc(all, func(a, b *dispatchRequest) int {
+		switch {
+		case a.state != b.state:
+			return int(b.state) - int(a.state)
+		case a.state == waitsForSlot:
+			return 0
+		case d.before(a, b):
+			return -1
+		case d.before(b, a):
+			return 1
+		}
+		return 0
+	})
+	return all
 }
 
 func (d *Dispatcher) before(a, b *dispatchRequest) bool {
@@ -347,52 +393,22 @@
 	d.out = append(d.out, Action{Kind: kind, Request: r.id, Conn: c.id})
 }
 
-// open opens connections for customers that have more waiters than connections
-// that are free or being opened. Opening takes a slot of the server.
-func (d *Dispatcher) open(now time.Duration) {
-	for d.running < d.slots() {
-		customer, found := d.needy()
-		if !found || !d.makeRoom(now, customer) {
-			return
-		}
-		d.nextConn++
-		d.conns[d.nextConn] = &dispatchConn{id: d.nextConn, customer: customer, opening: true, used: now}
-		d.running++
-		d.out = append(d.out, Action{Kind: Open, Conn: d.nextConn, Customer: customer})
-	}
-}
-
-// needy returns the customer of the first waiter that needs another connection.
-func (d *Dispatcher) needy() (string, bool) {
-	available := map[string]int{}
-	for _, c := range d.conns {
-		if !c.busy {
-			available[c.customer]++
-		}
-	}
-	for _, r := range d.queue {
-		if r.state != waitsForConn {
-			continue
-		}
-		if available[r.customer] > 0 {
-			available[r.customer]--
-			continue
-		}
-		if d.account(r.customer).held < d.pinCap() {
-			return r.customer, true
-		}
-	}
-	return "", false
+// open opens a connection, which takes a slot of the server.
+func (d *Dispatcher) open(now time.Duration, customer string) {
+	d.nextConn++
+	d.conns[d.nextConn] = &dispatchConn{id: d.nextConn, customer: customer, opening: true, used: now}
+	d.running++
+	d.out = append(d.out, Action{Kind: Open, Conn: d.nextConn, Customer: customer})
 }
 
 // pinCap is the number of connections that one customer may hold, so that its
 // open transactions leave room for the others.
-func (d *Dispatcher) pinCap() int { return max(d.budget()/2, 1) }
+func (d *Dispatcher) pinCap(now time.Duration) int { return max(d.budget(now)/2, 1) }
 
 // makeRoom closes the least recently used idle connection of another customer
 // when the budget is used up, and reports whether a connection may be opened.
 func (d *Dispatcher) makeRoom(now time.Duration, customer string) bool {
-	if d.Connections() < d.budget() {
+	if d.Connections() < d.budget(now) {
 		return true
 	}
 	var oldest *dispatchConn
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -52,9 +52,11 @@
 	Dialer    statement.Dialer
 	Authority Authority
 	Snapshot  func() *catalog.Snapshot
-	Clock     clock.Clock
-	Log       *log.Logger
-	Counters  *telemetry.Counters
+	// Mine reports whether this host is the home host of a server.
+	Mine     func(server string) bool
+	Clock    clock.Clock
+	Log      *log.Logger
+	Counters *telemetry.Counters
 }
 
 // Executor runs statements at backend servers.
@@ -109,7 +111,7 @@
 	}
 	now := x.opt.Clock()
 	var abandoned []*transaction
-	var retired []*lane
+	var retired, foreign []*lane
 	x.mu.Lock()
 	for handle, tx := range x.txs {
 		if !tx.busy && now-tx.used > limit+idleTxMargin {
@@ -121,9 +123,15 @@
 		if s, ok := snapshot.Server(name); !ok || s.Born != l.server.Born || s.Address != l.server.Address {
 			delete(x.lanes, name)
 			retired = append(retired, l)
+		} else if !x.opt.Mine(name) {
+			foreign = append(foreign, l)
 		}
 	}
 	x.mu.Unlock()
+	for _, l := range foreign {
+		// The connections count at the server, where the new home host needs them.
+		l.do(l.machine.DropIdle)
+	}
 	for _, tx := range abandoned {
 		x.opt.Counters.Add("transactions_abandoned", 1)
 		x.opt.Log.Info().Str("server", tx.lane.server.Name).Dur("idle", now-tx.used).Msg("idle transaction ended")
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -80,6 +80,21 @@
 	return v
 }
 
+// mine reports whether this host is the home host of a server: the owner of the
+// group for its primary, else the host that ranks first.
+func (d *directory) mine(server string) bool {
+	x, ok := d.snapshot().Server(server)
+	if !ok {
+		return false
+	}
+	v := d.View(x.Group)
+	if v.Primary == server {
+		owner, ok := d.Owner(x.Group)
+		return ok && owner.Name == d.self.Name
+	}
+	return v.Homes[server].Name == d.self.Name
+}
+
 // primaryIs notes what the owner of a group says.
 func (d *directory) primaryIs(group, server string, epoch uint64) {
 	d.mu.Lock()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -150,7 +150,7 @@
 		Clock: h.clock, Log: h.log, Counters: h.counters,
 	})
 	h.executor = executor.New(executor.Options{
-		Dialer: a.Dialer, Authority: h.failover, Snapshot: h.catalog.Snapshot, Clock: h.clock, Log: h.log, Counters: h.counters,
+		Dialer: a.Dialer, Authority: h.failover, Snapshot: h.catalog.Snapshot, Mine: h.directory.mine, Clock: h.clock, Log: h.log, Counters: h.counters,
 	}, rand.Uint64()>>1)
 	h.calls = &calls{
 		directory: h.directory, pool: peer.NewPool(nil, nil), executor: h.executor, failover: h.failover, counters: h.counters,
