Take confirmations of the store's rows from peers that know the same rows

Change: a heartbeat answers with a digest of the known rows and the age of their confirmation; with the same digest it holds here, too. Long polls wait longer, and short ones follow only when the confirmation gets old. Owners are asked for samples only when there is no recent one, without everybody's signs of life.

--- a/internal/catalog/shell.go
+++ b/internal/catalog/shell.go
@@ -16,11 +16,15 @@
 )
 
 const (
-	// registryWait is how long the store may hold a poll of the registry. It
-	// bounds how long a connection that went silent hides a change.
-	registryWait = 4 * time.Second
-	// confirmations is the number of polls of the configuration within the key
-	// grace, so that a lost answer does not stop keyed requests.
+	// pollWait is how long the store may hold a poll. Changes are answered at
+	// once; confirmations come from peers, too.
+	pollWait = 6 * time.Second
+	// registryAge bounds how long a connection that went silent hides a change of
+	// the registry.
+	registryAge = 4 * time.Second
+	// confirmations is the number of short polls of the configuration within the
+	// key grace when peers confirm nothing, so that a lost answer does not stop
+	// keyed requests.
 	confirmations = 3
 	// graceMarginPercent is kept back from the key grace for the difference of
 	// clocks and the time from the check to the backend server.
@@ -51,6 +55,8 @@
 	version config.Version
 	zones   int
 
+	configurations, servers *platform.Follower
+
 	snapshot atomic.Pointer[Snapshot]
 	// confirmed is the time of the last confirmation of the configuration, 0
 	// before the first.
@@ -61,9 +67,22 @@
 func NewShell(opt Options) *Shell {
 	s := &Shell{opt: opt, catalog: New(opt.Sources, opt.Zones, opt.Window)}
 	s.snapshot.Store(s.catalog.Snapshot())
+	follower := func(space string, age time.Duration, apply func([]platform.Change, bool, time.Duration)) *platform.Follower {
+		return &platform.Follower{
+			Watcher: opt.Watcher, Space: space, Wait: pollWait, MaxAge: age, Clock: opt.Clock,
+			Log: opt.Log, Counters: opt.Counters, Apply: apply,
+		}
+	}
+	s.configurations = follower(opt.Sources.ConfigurationSpace(), opt.KeyGrace/confirmations, s.configuration)
+	s.servers = follower(opt.Sources.RegistrySpace(), registryAge, s.registry)
 	return s
 }
 
+// Followers returns what follows the spaces, for the exchange with peers.
+func (s *Shell) Followers() []*platform.Follower {
+	return []*platform.Follower{s.configurations, s.servers}
+}
+
 // Snapshot returns the present view.
 func (s *Shell) Snapshot() *Snapshot { return s.snapshot.Load() }
 
@@ -81,15 +100,9 @@
 // Run follows the rows until ctx ends.
 func (s *Shell) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	follow := func(space string, wait time.Duration, apply func([]platform.Change, bool, time.Duration)) {
-		f := &platform.Follower{
-			Watcher: s.opt.Watcher, Space: space, Wait: wait, Clock: s.opt.Clock,
-			Log: s.opt.Log, Counters: s.opt.Counters, Apply: apply,
-		}
+	for _, f := range s.Followers() {
 		wg.Go(func() { f.Run(ctx) })
 	}
-	follow(s.opt.Sources.ConfigurationSpace(), s.opt.KeyGrace/confirmations, s.configuration)
-	follow(s.opt.Sources.RegistrySpace(), registryWait, s.registry)
 	t := time.NewTicker(expireInterval)
 	defer t.Stop()
 	for ctx.Err() == nil {
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -61,6 +61,15 @@
 	g.samples = append(g.samples, sample{at: at, position: p})
 }
 
+// Newest returns the time of the newest sample, 0 without any.
+func (s *Samples) Newest(name string) time.Duration {
+	g, ok := s.groups[name]
+	if !ok || len(g.samples) == 0 {
+		return 0
+	}
+	return g.samples[len(g.samples)-1].at
+}
+
 // Floor returns a position that covers every commit acknowledged before since:
 // the oldest one that does, which most replicas have. ok is false when no sample
 // is recent enough.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -141,6 +141,13 @@
 	f.samples.Observe(group, at, p)
 }
 
+// NewestSample returns the time of the newest sample of a group.
+func (f *Frontend) NewestSample(group string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.samples.Newest(group)
+}
+
 // Sessions returns the number of open sessions.
 func (f *Frontend) Sessions() int {
 	f.mu.Lock()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -155,7 +155,10 @@
 	h.calls = &calls{
 		directory: h.directory, pool: peer.NewPool(nil, nil), executor: h.executor, failover: h.failover, counters: h.counters,
 		workers:  pond.NewPool(pulseWorkers, pond.WithQueueSize(pulseWorkers), pond.WithNonBlocking(true)),
-		suspects: map[string]bool{},
+		suspects: map[string]bool{}, followers: map[string]*platform.Follower{},
+	}
+	for _, f := range append(h.catalog.Followers(), h.owners.Follower()) {
+		h.calls.followers[f.Space] = f
 	}
 	h.minters = limit.NewMinters(rates{h.directory}, h.clock)
 	h.limiter = limit.New(limit.Options{
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -18,6 +18,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/ownership"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/platform"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
@@ -32,8 +33,15 @@
 	// pulseTimeout bounds one heartbeat. One that takes longer shows a silent
 	// connection, which is replaced.
 	pulseTimeout = 250 * time.Millisecond
-	// pulsePeers is the number of hosts that are asked at random each time.
-	pulsePeers = 2
+	// pulsePeers is the number of hosts that are asked at random each time, and
+	// pulsePeersLarge that in a fleet of more than largeFleet hosts, where the
+	// messages are larger and signs of life may take longer.
+	pulsePeers      = 2
+	pulsePeersLarge = 1
+	largeFleet      = 32
+	// sampleAge is the age of the newest sample of a group at which its owner is
+	// asked. Answers of the primary bring samples, too.
+	sampleAge = 400 * time.Millisecond
 	// pulseWorkers bounds the heartbeats in flight.
 	pulseWorkers = 24
 )
@@ -47,6 +55,7 @@
 	frontend  *frontend.Frontend
 	counters  *telemetry.Counters
 	workers   pond.Pool
+	followers map[string]*platform.Follower
 
 	mu sync.Mutex
 	// suspects are hosts of which a call was overdue. They get a heartbeat next.
@@ -139,35 +148,49 @@
 	}
 }
 
-// chosen returns some hosts at random, the owners of the groups and those that
-// are suspected.
-func (c *calls) chosen(others []ownership.Host) []ownership.Host {
+// target is a host to send a heartbeat to.
+type target struct {
+	ownership.Host
+	// brief heartbeats leave out the signs of life of other hosts.
+	brief bool
+}
+
+// chosen returns some hosts at random, those that are suspected, and the owners
+// of the groups whose newest sample is old.
+func (c *calls) chosen(others []ownership.Host) []target {
 	c.mu.Lock()
 	suspects := c.suspects
 	c.suspects = map[string]bool{}
 	c.mu.Unlock()
+	now := c.directory.clock()
 	owners := map[string]bool{}
 	for _, g := range c.directory.GroupNames() {
+		if now-c.frontend.NewestSample(g) < sampleAge {
+			continue
+		}
 		if h, ok := c.directory.owners.Holder(failover.Role(g)); ok {
 			owners[h.Name] = true
 		}
 	}
-	var out []ownership.Host
 	random := pulsePeers
+	if len(others) >= largeFleet {
+		random = pulsePeersLarge
+	}
+	var out []target
 	for _, i := range rand.Perm(len(others)) {
 		h := others[i]
 		switch {
-		case owners[h.Name] || suspects[h.Name]:
-			out = append(out, h)
 		case random > 0:
 			random--
-			out = append(out, h)
+			out = append(out, target{Host: h})
+		case owners[h.Name] || suspects[h.Name]:
+			out = append(out, target{Host: h, brief: true})
 		}
 	}
 	return out
 }
 
-func (c *calls) heartbeat(ctx context.Context, h ownership.Host) {
+func (c *calls) heartbeat(ctx context.Context, h target) {
 	client, err := c.pool.Client(h.Address)
 	if err != nil {
 		c.counters.Add("heartbeats_failed", 1)
@@ -176,7 +199,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pulseTimeout)
 	defer cancel()
 	sent := c.directory.clock()
-	resp, err := client.Pulse(ctx, &peerpb.PulseRequest{Beats: toWire(c.directory.owners.Exchange(nil))})
+	resp, err := client.Pulse(ctx, &peerpb.PulseRequest{Beats: c.beats(h.brief), Brief: h.brief})
 	if err != nil {
 		c.counters.Add("heartbeats_failed", 1)
 		if status.Code(err) == codes.DeadlineExceeded {
@@ -191,6 +214,23 @@
 			Position: statement.Position{Term: g.GetPosition().GetTerm(), Number: g.GetPosition().GetPosition()},
 		})
 	}
+	for _, k := range resp.GetSpaces() {
+		if f, ok := c.followers[k.GetSpace()]; ok {
+			f.PeerKnows(sent, platform.Knowledge{
+				Digest: k.GetDigest(), Revision: platform.Revision(k.GetRevision()), Age: time.Duration(k.GetAgeUs()) * time.Microsecond,
+			})
+		}
+	}
+}
+
+// beats returns the signs of life to send: all, or in brief the own one, which
+// comes first.
+func (c *calls) beats(brief bool) []*peerpb.Beat {
+	all := c.directory.owners.Exchange(nil)
+	if brief {
+		all = all[:1]
+	}
+	return toWire(all)
 }
 
 // observe takes the state of a group in that its owner had at the time.
@@ -237,7 +277,15 @@
 }
 
 func (a api) Pulse(_ context.Context, req *peerpb.PulseRequest) (*peerpb.PulseResponse, error) {
-	resp := &peerpb.PulseResponse{Beats: toWire(a.c.directory.owners.Exchange(fromWire(req.GetBeats())))}
+	a.c.directory.owners.Exchange(fromWire(req.GetBeats()))
+	resp := &peerpb.PulseResponse{Beats: a.c.beats(req.GetBrief())}
+	for space, f := range a.c.followers {
+		if k, ok := f.Knowledge(); ok {
+			resp.Spaces = append(resp.Spaces, &peerpb.SpaceKnowledge{
+				Space: space, Digest: k.Digest, Revision: uint64(k.Revision), AgeUs: k.Age.Microseconds(),
+			})
+		}
+	}
 	for _, s := range a.c.failover.States() {
 		resp.Groups = append(resp.Groups, &peerpb.GroupState{
 			Group: s.Group, Epoch: s.Epoch, Primary: s.Primary, AgeUs: s.Age.Microseconds(),
--- a/internal/ownership/shell.go
+++ b/internal/ownership/shell.go
@@ -38,6 +38,8 @@
 type Shell struct {
 	opt Options
 
+	follower *platform.Follower
+
 	mu      sync.Mutex
 	machine *Machine
 	shown   map[string]shownRole
@@ -53,17 +55,21 @@
 
 // New returns a Shell. Nothing happens before Run.
 func New(opt Options) *Shell {
-	return &Shell{opt: opt, machine: NewMachine(opt.Clock(), opt.Self, opt.Space), shown: map[string]shownRole{}}
+	s := &Shell{opt: opt, machine: NewMachine(opt.Clock(), opt.Self, opt.Space), shown: map[string]shownRole{}}
+	s.follower = &platform.Follower{
+		Watcher: opt.Watcher, Space: opt.Space, Wait: PollWait, MaxAge: PollAge, Clock: opt.Clock,
+		Log: opt.Log, Counters: opt.Counters, Apply: s.apply,
+	}
+	return s
 }
 
+// Follower returns what follows the rows, for the exchange with peers.
+func (s *Shell) Follower() *platform.Follower { return s.follower }
+
 // Run follows the rows and claims roles until ctx ends.
 func (s *Shell) Run(ctx context.Context) {
-	f := &platform.Follower{
-		Watcher: s.opt.Watcher, Space: s.opt.Space, Wait: PollWait, Clock: s.opt.Clock,
-		Log: s.opt.Log, Counters: s.opt.Counters, Apply: s.apply,
-	}
 	var wg sync.WaitGroup
-	wg.Go(func() { f.Run(ctx) })
+	wg.Go(func() { s.follower.Run(ctx) })
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for ctx.Err() == nil {
