--- /dev/null
+++ b/internal/executor/executor_test.go
@@ -0,0 +1,350 @@
+package executor
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/customer"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
+)
+
+// server is a backend server that keeps what its connections did.
+type server struct {
+	mu      sync.Mutex
+	conns   int
+	seen    []string
+	fail    func(c *fakeConn, cmd statement.Command) *verdict.Error
+	lose    func(cmd statement.Command) bool
+	number  uint64
+	resets  int
+	silent  bool
+	maxOpen int
+	open    int
+}
+
+type fakeConn struct {
+	s        *server
+	id       int
+	customer string
+	state    statement.State
+	values   map[string]string
+	prepared map[string]bool
+}
+
+func (s *server) Dial(_ context.Context, t statement.Target) (statement.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns++
+	s.open++
+	s.maxOpen = max(s.maxOpen, s.open)
+	return &fakeConn{s: s, id: s.conns, customer: t.Customer, values: map[string]string{}, prepared: map[string]bool{}}, nil
+}
+
+func (c *fakeConn) Run(deadline time.Time, commands ...statement.Command) ([]statement.Result, error) {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	var out []statement.Result
+	for _, cmd := range commands {
+		if c.s.silent || c.s.lose != nil && c.s.lose(cmd) {
+			return out, verdict.New(verdict.MayHaveRun, verdict.AnswerOverdue, "lost")
+		}
+		c.s.seen = append(c.s.seen, fmt.Sprintf("%d:%s %s%s %v", c.id, cmd.Kind, cmd.Text, cmd.Name, c.values))
+		out = append(out, c.one(cmd))
+	}
+	return out, nil
+}
+
+func (c *fakeConn) one(cmd statement.Command) statement.Result {
+	if c.s.fail != nil {
+		if e := c.s.fail(c, cmd); e != nil {
+			if c.state == statement.InTransaction {
+				c.state = statement.Failed
+			}
+			return statement.Result{Err: e, State: c.state}
+		}
+	}
+	switch cmd.Kind {
+	case statement.Begin, statement.BeginRead:
+		c.state = statement.InTransaction
+	case statement.Commit:
+		c.s.number++
+		c.state = statement.Idle
+	case statement.Rollback:
+		c.state = statement.Idle
+	case statement.Set:
+		c.values[cmd.Name] = cmd.Arguments
+	case statement.Prepare:
+		c.prepared[cmd.Name] = true
+	case statement.Execute:
+		if !c.prepared[cmd.Name] {
+			return statement.Result{Err: verdict.New(verdict.NotRun, verdict.UnknownStatement, "none"), State: c.state}
+		}
+	}
+	return statement.Result{Signature: "sig", State: c.state, Position: statement.Position{Term: 1, Number: c.s.number}}
+}
+
+func (c *fakeConn) Status(time.Time) (statement.Status, error) { return statement.Status{}, nil }
+
+func (c *fakeConn) Reset(time.Time) error {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	if c.s.silent {
+		return verdict.New(verdict.MayHaveRun, verdict.AnswerOverdue, "silent")
+	}
+	c.s.resets++
+	clear(c.values)
+	clear(c.prepared)
+	return nil
+}
+
+func (c *fakeConn) Close() {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	c.s.open--
+}
+
+// authority lets this host use "db" as the primary while leads is set.
+type authority struct {
+	mu    sync.Mutex
+	leads bool
+	lost  int
+}
+
+func (a *authority) Primary(string) (string, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return "db", a.leads
+}
+
+func (a *authority) Alive(string, string, time.Duration, statement.Position) {}
+
+func (a *authority) LostLead(string, string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lost++
+}
+
+type oneServer struct{}
+
+func (oneServer) ConfigurationSpace() string    { return "conf" }
+func (oneServer) RegistrySpace() string         { return "reg" }
+func (oneServer) IsConfiguration(string) bool   { return true }
+func (oneServer) ZoneOut(string) (string, bool) { return "", false }
+
+func (oneServer) DecodeConfiguration([]byte) (*catalog.Configuration, error) {
+	doc := &config.Document{Version: 1}
+	doc.Inventory.Groups = []config.Group{{Name: "g"}}
+	return &catalog.Configuration{Document: doc, Groups: map[string]catalog.GroupSettings{"g": {Connections: 12}}, IdleTx: 100 * time.Millisecond}, nil
+}
+
+func (oneServer) DecodeServer(string, []byte) (catalog.Server, error) {
+	return catalog.Server{Server: config.Server{Name: "db", Address: "a:1", Slots: 2}, Group: "g"}, nil
+}
+
+type fixture struct {
+	t    *testing.T
+	srv  *server
+	auth *authority
+	x    *Executor
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, srv: &server{}, auth: &authority{leads: true}}
+	c := catalog.New(oneServer{}, []string{"z"}, customer.Window{})
+	change := func(key string) []platform.Change { return []platform.Change{{Row: platform.Row{Key: key}}} }
+	c.ConfigurationRows(change("conf/x"), true)
+	c.RegistryRows(0, change("reg/db"), true)
+	snapshot := c.Snapshot()
+	start := time.Now()
+	f.x = New(Options{
+		Dialer: f.srv, Authority: f.auth, Snapshot: func() *catalog.Snapshot { return snapshot },
+		Mine: func(string) bool { return true }, Clock: func() time.Duration { return time.Since(start) },
+		Log: &log.Logger{Level: log.PanicLevel}, Counters: telemetry.NewCounters(),
+	}, 100)
+	return f
+}
+
+func (f *fixture) do(req *peerpb.ExecuteRequest) *peerpb.ExecuteResponse {
+	if req.Customer == "" {
+		req.Customer = "c"
+	}
+	req.Server, req.Group = "db", "g"
+	req.TimeoutUs, req.WaitUs = (2 * time.Second).Microseconds(), time.Second.Microseconds()
+	return f.x.Execute(context.Background(), req)
+}
+
+func read() *peerpb.ExecuteRequest {
+	return &peerpb.ExecuteRequest{Kind: uint32(statement.Read), Id: "1", Text: "READ a"}
+}
+
+func write() *peerpb.ExecuteRequest {
+	return &peerpb.ExecuteRequest{Kind: uint32(statement.Write), Id: "1", Text: "WRITE a b", Primary: true}
+}
+
+func (f *fixture) wantFailure(r *peerpb.ExecuteResponse, v verdict.Verdict, reason verdict.Reason) {
+	f.t.Helper()
+	assert.Assert(f.t, r.GetFailure() != nil)
+	assert.Equal(f.t, r.GetFailure().GetReason(), string(reason), r.GetFailure().GetMessage())
+	want := uint32(0)
+	if v == verdict.NotRun {
+		want = uint32(verdict.NotRun)
+	}
+	assert.Equal(f.t, r.GetFailure().GetVerdict(), want)
+}
+
+// Guards against values of one session on the connection of another, and against
+// a prepared statement that the connection does not have.
+func TestValuesAndPreparedStatementsFollowTheSession(t *testing.T) {
+	f := newFixture(t)
+	with := func(values map[string]string) *peerpb.ExecuteRequest {
+		r := read()
+		r.Values = values
+		return r
+	}
+	assert.Assert(t, f.do(with(map[string]string{"v": "1"})).GetFailure() == nil)
+	assert.Assert(t, f.do(with(map[string]string{"v": "2"})).GetFailure() == nil)
+	assert.Equal(t, f.srv.seen[len(f.srv.seen)-1], "1:read READ a map[v:2]")
+	assert.Assert(t, f.do(with(nil)).GetFailure() == nil)
+	assert.Equal(t, f.srv.seen[len(f.srv.seen)-1], "1:read READ a map[]")
+	e := &peerpb.ExecuteRequest{Kind: uint32(statement.Execute), Id: "2", Arguments: "a", Shape: "q"}
+	assert.Assert(t, f.do(e).GetFailure() == nil)
+	before := len(f.srv.seen)
+	assert.Assert(t, f.do(e).GetFailure() == nil)
+	assert.Equal(t, len(f.srv.seen), before+1, "prepared again")
+	assert.Equal(t, f.srv.conns, 1)
+}
+
+// Guards against a connection that serves two customers.
+func TestConnectionsBelongToOneCustomer(t *testing.T) {
+	f := newFixture(t)
+	for _, c := range []string{"a", "b", "a", "b"} {
+		r := read()
+		r.Customer = c
+		assert.Assert(t, f.do(r).GetFailure() == nil)
+	}
+	assert.Equal(t, f.srv.conns, 2)
+}
+
+// Guards against a transaction whose statements run on different connections, and
+// a connection that is free before it has ended.
+func TestTransactionKeepsItsConnection(t *testing.T) {
+	f := newFixture(t)
+	first := write()
+	first.BeginId, first.BeginText = "0", "BEGIN"
+	r := f.do(first)
+	assert.Assert(t, r.GetTransaction() != 0)
+	assert.Assert(t, f.do(read()).GetFailure() == nil) // another session
+	next := write()
+	next.Transaction = r.GetTransaction()
+	assert.Assert(t, f.do(next).GetFailure() == nil)
+	commit := &peerpb.ExecuteRequest{Kind: uint32(statement.Commit), Id: "3", Text: "COMMIT", Transaction: r.GetTransaction()}
+	done := f.do(commit)
+	assert.Assert(t, done.GetFailure() == nil && done.GetTransaction() == 0)
+	assert.Equal(t, f.srv.seen[0], "1:begin BEGIN map[]")
+	assert.Equal(t, f.srv.seen[len(f.srv.seen)-1], "1:commit COMMIT map[]")
+	f.wantFailure(f.do(next), verdict.NotRun, verdict.TransactionAborted)
+}
+
+// Guards against a verdict that says too much or too little.
+func TestVerdicts(t *testing.T) {
+	f := newFixture(t)
+	kind := func(k statement.Kind) func(statement.Command) bool {
+		return func(c statement.Command) bool { return c.Kind == k }
+	}
+	f.srv.lose = kind(statement.Write)
+	f.wantFailure(f.do(write()), verdict.MayHaveRun, verdict.AnswerOverdue)
+	inTx := write()
+	inTx.BeginText = "BEGIN"
+	f.wantFailure(f.do(inTx), verdict.NotRun, verdict.TransactionAborted)
+	f.srv.lose = kind(statement.Begin)
+	f.wantFailure(f.do(inTx), verdict.NotRun, verdict.AnswerOverdue)
+	f.srv.lose = kind(statement.Commit)
+	r := f.do(inTx)
+	assert.Assert(t, r.GetTransaction() != 0)
+	commit := &peerpb.ExecuteRequest{Kind: uint32(statement.Commit), Text: "COMMIT", Transaction: r.GetTransaction()}
+	f.wantFailure(f.do(commit), verdict.MayHaveRun, verdict.AnswerOverdue)
+	f.srv.lose = nil
+	f.srv.fail = func(_ *fakeConn, cmd statement.Command) *verdict.Error {
+		if cmd.Kind == statement.Write {
+			return verdict.New(verdict.NotRun, verdict.ReadOnly, "lost the lead")
+		}
+		return nil
+	}
+	f.wantFailure(f.do(write()), verdict.NotRun, verdict.ReadOnly)
+	assert.Equal(t, f.auth.lost, 1)
+}
+
+// Guards against use of a server as the primary by a host that does not own the
+// group.
+func TestPrimaryNeedsAuthority(t *testing.T) {
+	f := newFixture(t)
+	f.auth.leads = false
+	f.wantFailure(f.do(write()), verdict.NotRun, verdict.NoPrimary)
+	assert.Equal(t, len(f.srv.seen), 0)
+}
+
+// Guards against a statement that is given up although the server only had no
+// slot free, and against a second run of one that did run.
+func TestBusyServerIsAskedAgain(t *testing.T) {
+	f := newFixture(t)
+	tries := 0
+	f.srv.fail = func(_ *fakeConn, cmd statement.Command) *verdict.Error {
+		if tries++; tries < 3 {
+			return verdict.New(verdict.NotRun, verdict.ServerBusy, "no slot")
+		}
+		return nil
+	}
+	assert.Assert(t, f.do(write()).GetFailure() == nil)
+	assert.Equal(t, tries, 3)
+	f.srv.fail = func(*fakeConn, statement.Command) *verdict.Error {
+		tries++
+		return verdict.New(verdict.MayHaveRun, verdict.StatementFailed, "failed")
+	}
+	tries = 0
+	f.wantFailure(f.do(write()), verdict.MayHaveRun, verdict.StatementFailed)
+	assert.Equal(t, tries, 1)
+}
+
+// Guards against a write that is lost on a connection which went silent together
+// with one whose answer is overdue.
+func TestSilentConnectionIsFoundBeforeAWrite(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.do(write()).GetFailure() == nil)
+	l := f.x.lanes["db"]
+	time.Sleep(2 * time.Millisecond)
+	l.noteOverdue()
+	f.srv.mu.Lock()
+	f.srv.silent = true
+	f.srv.mu.Unlock()
+	f.wantFailure(f.do(write()), verdict.NotRun, verdict.ConnectionLost)
+	f.srv.mu.Lock()
+	f.srv.silent = false
+	f.srv.mu.Unlock()
+	assert.Assert(t, f.do(write()).GetFailure() == nil)
+}
+
+// Guards against a transaction that holds its connection after its entry host is
+// gone.
+func TestAbandonedTransactionEnds(t *testing.T) {
+	f := newFixture(t)
+	first := write()
+	first.BeginText = "BEGIN"
+	assert.Assert(t, f.do(first).GetTransaction() != 0)
+	assert.Equal(t, f.x.Transactions(), 1)
+	time.Sleep(100*time.Millisecond + idleTxMargin + 20*time.Millisecond)
+	f.x.sweep()
+	assert.Equal(t, f.x.Transactions(), 0)
+	assert.Equal(t, f.srv.open, 0)
+}
