Hold writes while the primary changes, and read at the old one meanwhile

Change: the owner lets a statement wait while it changes the primary, for up to eight tenths of its time; reads go on at a primary that is being replaced.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -39,8 +39,10 @@
 // Authority says which server this host may use as the primary of a group.
 type Authority interface {
 	// Primary returns the server, false while there is none or this host is not
-	// the group's owner.
-	Primary(group string) (server string, ok bool)
+	// the group's owner. For reads that is also a server which is being replaced.
+	Primary(group string, read bool) (server string, ok bool)
+	// AwaitPrimary is Primary, but waits while the primary is being changed.
+	AwaitPrimary(ctx context.Context, group string, read bool, limit time.Duration) (server string, ok bool)
 	// Alive notes an answer of a server to a statement sent at the time.
 	Alive(group, server string, sent time.Duration, p statement.Position)
 	// LostLead notes that a statement found the server without the lead.
@@ -214,11 +216,25 @@
 // wall converts a time of the clock into a deadline for sockets.
 func (c *call) wall(at time.Duration) time.Time { return time.Now().Add(at - c.x.opt.Clock()) }
 
+// changeShare is the part of a statement's time, in tenths, that it may wait for a
+// change of the primary. A promotion takes 0.3 to 1 s, and an answer that comes
+// late is worth more to the caller than a refusal.
+const changeShare = 8
+
+// reads reports whether the request, with its transaction, only reads.
+func (c *call) reads() bool {
+	if c.req.GetBeginText() != "" {
+		return c.req.GetBeginReads()
+	}
+	kind := statement.Kind(c.req.GetKind())
+	return kind == statement.Read || kind == statement.Execute && !c.req.GetShapeWrites()
+}
+
 // start runs a statement that no transaction is open for.
 func (c *call) start() error {
 	server := c.req.GetServer()
 	if c.req.GetPrimary() {
-		primary, ok := c.x.opt.Authority.Primary(c.req.GetGroup())
+		primary, ok := c.x.opt.Authority.AwaitPrimary(c.ctx, c.req.GetGroup(), c.reads(), changeShare*(c.deadline-c.began)/10)
 		if !ok {
 			return verdict.New(verdict.NotRun, verdict.NoPrimary, "group %q has no primary here", c.req.GetGroup())
 		}
@@ -253,7 +269,7 @@
 // use the server as the primary.
 func (c *call) ready(tx *transaction) error {
 	if tx.primary {
-		if primary, ok := c.x.opt.Authority.Primary(c.req.GetGroup()); !ok || primary != tx.lane.server.Name {
+		if primary, ok := c.x.opt.Authority.Primary(c.req.GetGroup(), c.reads()); !ok || primary != tx.lane.server.Name {
 			return verdict.New(verdict.NotRun, verdict.NoPrimary, "group %q has changed its primary", c.req.GetGroup())
 		}
 	}
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -122,7 +122,11 @@
 	lost  int
 }
 
-func (a *authority) Primary(string) (string, bool) {
+func (a *authority) AwaitPrimary(_ context.Context, g string, read bool, _ time.Duration) (string, bool) {
+	return a.Primary(g, read)
+}
+
+func (a *authority) Primary(string, bool) (string, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return "db", a.leads
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -119,6 +119,8 @@
 	lastPosition statement.Position
 	failures     int
 	refusals     int
+	// planned is set while a primary that still works is being replaced.
+	planned bool
 	// unusableSince is when the primary was first seen to be unusable.
 	unusableSince time.Duration
 	nextOrder     time.Duration
@@ -138,7 +140,26 @@
 // Primary returns the server that is used as the primary, if there is one.
 func (m *Machine) Primary() (server string, ok bool) { return m.primary, m.phase == Leading }
 
+// ReadPrimary returns the server on which reads are current: the primary, also
+// while a planned replacement is under way, because nothing is acknowledged at the
+// new primary before it is used.
+func (m *Machine) ReadPrimary() (server string, ok bool) {
+	switch m.phase {
+	case Leading:
+		return m.primary, true
+	case CatchingUp, WaitingForEpoch, Ordering, WaitingForLead:
+		return m.primary, m.planned && m.primary != ""
+	}
+	return "", false
+}
+
+// Changing reports whether a primary can be expected soon.
+func (m *Machine) Changing() bool { return m.phase != Idle && m.phase != Leading }
+
 func (m *Machine) enter(now time.Duration, p Phase, why string) {
+	if p == Idle || p == Surveying || p == Leading {
+		m.planned = false
+	}
 	m.phase, m.since, m.Why = p, now, why
 }
 
@@ -360,6 +381,7 @@
 // replacePlanned moves the lead away from a server that may not get new work.
 func (m *Machine) replacePlanned(now time.Duration, mayStay bool) {
 	m.enter(now, CatchingUp, "primary leaves")
+	m.planned = mayStay || m.successors(now) > 0
 	m.catchUp(now)
 	if m.phase == CatchingUp && m.successors(now) == 0 {
 		if mayStay && now-m.unusableSince < leavingUse {
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -153,7 +153,11 @@
 	c := newCluster(t)
 	c.run(time.Second)
 	c.members[0].Usable = false
-	c.run(1200 * time.Millisecond)
+	c.run(300 * time.Millisecond)
+	// Reads go on at the old primary; writes wait.
+	read, ok := c.m.ReadPrimary()
+	assert.Assert(t, ok && read == "a" && c.primary() == "" && c.m.Changing())
+	c.run(900 * time.Millisecond)
 	assert.Assert(t, c.primary() != "a" && c.primary() != "", "primary is %q", c.primary())
 }
 
--- a/internal/failover/shell.go
+++ b/internal/failover/shell.go
@@ -89,10 +89,12 @@
 }
 
 type supervised struct {
-	machine  *Machine
-	shown    Phase
-	since    time.Duration
-	samples  sample
+	machine *Machine
+	shown   Phase
+	since   time.Duration
+	samples sample
+	// changed is closed at the next change of phase.
+	changed  chan struct{}
 	monitors map[string]statement.Conn
 }
 
@@ -125,7 +127,7 @@
 func (s *Shell) group(name string) *supervised {
 	g, ok := s.groups[name]
 	if !ok {
-		g = &supervised{machine: NewMachine(), monitors: map[string]statement.Conn{}}
+		g = &supervised{machine: NewMachine(), changed: make(chan struct{}), monitors: map[string]statement.Conn{}}
 		s.groups[name] = g
 	}
 	return g
@@ -168,6 +170,8 @@
 		Uint64("number", g.machine.lastPosition.Number).Str("why", g.machine.Why).Msg("group supervision")
 	s.opt.Counters.Add("failover_"+p.String(), 1)
 	g.shown, g.since = p, now
+	close(g.changed)
+	g.changed = make(chan struct{})
 	if p == Leading {
 		g.samples = sample{}
 	}
@@ -254,17 +258,50 @@
 }
 
 // Primary returns the server that this host may use as the group's primary now.
-func (s *Shell) Primary(name string) (server string, ok bool) {
-	if _, held := s.opt.Roles.Held(Role(name)); !held {
-		return "", false
-	}
+// For reads that is also a server which is being replaced as planned.
+func (s *Shell) Primary(name string, read bool) (server string, ok bool) {
+	server, ok, _ = s.primary(name, read)
+	return server, ok
+}
+
+// primary also returns what to wait for while a primary can be expected soon.
+func (s *Shell) primary(name string, read bool) (server string, ok bool, change <-chan struct{}) {
+	_, held := s.opt.Roles.Held(Role(name))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g, known := s.groups[name]
-	if !known {
-		return "", false
+	if !held || !known {
+		return "", false, nil
+	}
+	if read {
+		server, ok = g.machine.ReadPrimary()
+	} else {
+		server, ok = g.machine.Primary()
+	}
+	if !ok && g.machine.Changing() {
+		change = g.changed
+	}
+	return server, ok, change
+}
+
+// AwaitPrimary is Primary, but waits for up to the time while the owner is
+// changing the primary.
+func (s *Shell) AwaitPrimary(ctx context.Context, name string, read bool, limit time.Duration) (server string, ok bool) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		server, ok, change := s.primary(name, read)
+		if ok || change == nil {
+			return server, ok
+		}
+		select {
+		case <-change:
+		case <-timer.C:
+			return "", false
+		case <-ctx.Done():
+			return "", false
+		}
 	}
-	return g.machine.Primary()
 }
 
 // Alive notes an answer of a server to a statement that was sent at the time.
--- a/internal/frontend/operation.go
+++ b/internal/frontend/operation.go
@@ -311,6 +311,7 @@
 	}
 	if o.tx != nil && o.tx.handle == 0 {
 		req.BeginId, req.BeginText = o.tx.begin.ID, o.tx.begin.Text
+		req.BeginReads = o.tx.begin.Kind == statement.BeginRead
 	}
 	return req
 }
