--- a/internal/catalog/shell.go
+++ b/internal/catalog/shell.go
@@ -11,6 +11,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/customer"
+	"github.com/cranberryhinge/cranberryhinge/internal/guard"
 	"github.com/cranberryhinge/cranberryhinge/internal/platform"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 )
@@ -94,7 +95,7 @@
 		return false, 0
 	}
 	age := s.opt.Clock() - at
-	return age < s.opt.KeyGrace*(100-graceMarginPercent)/100, age
+	return age < s.opt.KeyGrace*(100-graceMarginPercent)/100 || !guard.On(guard.KeyAge), age
 }
 
 // Run follows the rows until ctx ends.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -84,7 +84,7 @@
 		Flags:     flags,
 		Subcommands: []*ff.Command{
 			a.checkCommand(), a.applyCommand(), a.statusCommand(), a.explainCommand(),
-			a.keyCommand(), a.zoneCommand(), a.serveCommand(), a.standinCommand(), a.demoCommand(), a.benchCommand(),
+			a.keyCommand(), a.zoneCommand(), a.serveCommand(), a.standinCommand(), a.demoCommand(), a.benchCommand(), a.soakCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/cli/soak.go
@@ -0,0 +1,104 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/pkg/errors"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/soak"
+)
+
+// Defaults of a soak run.
+const (
+	soakHosts   = 6
+	soakCallers = 24
+	soakLength  = 45 * time.Second
+)
+
+func (a *app) soakCommand() *ff.Command {
+	flags := ff.NewFlagSet("soak")
+	seed := flags.Uint64(0, "seed", 0, "first seed; 0 draws one")
+	runs := flags.Int(0, "runs", 1, "number of runs, each with the next seed")
+	hosts := flags.Int(0, "hosts", soakHosts, "number of host processes")
+	callers := flags.Int(0, "callers", soakCallers, "number of callers")
+	length := flags.Duration(0, "length", soakLength, "length of a run")
+	dir := flags.String(0, "dir", "", "directory for logs and results; default is a new one under the temporary directory")
+	replay := flags.String(0, "replay", "", "result.json of an earlier run whose plan is played again")
+	return &ff.Command{
+		Name:      "soak",
+		Usage:     "cranberryhinge soak [--seed <N>] [--runs <N>] [--replay <FILE>]",
+		ShortHelp: "run hosts as processes under random faults and check every promise",
+		LongHelp:  "Exit code 1 reports a broken promise.\n\nEXAMPLE\n  cranberryhinge soak --seed 7 --runs 3",
+		Flags:     flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			if *seed == 0 {
+				*seed = uint64(time.Now().UnixNano()) % 1_000_000
+			}
+			if *dir == "" {
+				d, err := os.MkdirTemp("", "soak")
+				if err != nil {
+					return errors.Wrap(err, "create directory")
+				}
+				*dir = d
+			}
+			var plans []soak.Plan
+			for i := range *runs {
+				plans = append(plans, soak.NewPlan(*seed+uint64(i), *hosts, *callers, *length))
+			}
+			if *replay != "" {
+				p, err := loadPlan(*replay)
+				if err != nil {
+					return err
+				}
+				plans = []soak.Plan{p}
+			}
+			return a.soak(ctx, plans, *dir)
+		},
+	}
+}
+
+func loadPlan(path string) (soak.Plan, error) {
+	var r soak.Result
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return r.Plan, errors.Wrap(err, "read result")
+	}
+	return r.Plan, errors.Wrap(json.Unmarshal(data, &r), "decode result")
+}
+
+// soak plays the plans and reports the seeds that broke a promise.
+func (a *app) soak(ctx context.Context, plans []soak.Plan, dir string) error {
+	binary, err := os.Executable()
+	if err != nil {
+		return errors.Wrap(err, "find the program")
+	}
+	broken := 0
+	for _, p := range plans {
+		if ctx.Err() != nil {
+			break
+		}
+		sub := filepath.Join(dir, fmt.Sprintf("seed-%d", p.Seed))
+		r, err := soak.Run(ctx, soak.Options{Plan: p, Binary: binary, Dir: sub, Out: a.stderr})
+		if err != nil {
+			return err
+		}
+		a.printf("seed %d: %d events, %d operations, %d served, %.2f in the end, %d breaches, %s\n",
+			p.Seed, len(p.Events), r.Asked, r.Served, r.LastShare, len(r.Breaches), sub)
+		for _, b := range r.Breaches {
+			a.printf("  %s\n", b)
+		}
+		if len(r.Breaches) > 0 {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Errorf("%d of %d seeds broke a promise", broken, len(plans))
+	}
+	return nil
+}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -12,6 +12,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/backend"
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
+	"github.com/cranberryhinge/cranberryhinge/internal/guard"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
@@ -433,7 +434,7 @@
 		c.forget(handle)
 	}
 	tx.lane.finish(tx.id, tx.conn, false)
-	if inTx && statement.Kind(c.req.GetKind()) != statement.Commit {
+	if inTx && statement.Kind(c.req.GetKind()) != statement.Commit || !guard.On(guard.Verdict) {
 		return verdict.New(verdict.NotRun, verdict.TransactionAborted, "the connection to %s ended: %s", tx.lane.server.Name, e.Message)
 	}
 	return e
@@ -550,6 +551,9 @@
 }
 
 func (c *call) foreignValues(conn *conn) bool {
+	if !guard.On(guard.Values) {
+		return false
+	}
 	if conn.uncertain {
 		return true
 	}
--- a/internal/frontend/operation.go
+++ b/internal/frontend/operation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/guard"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
@@ -250,6 +251,9 @@
 	req := o.request()
 	req.Server = c.Server
 	o.floor = floor
+	if !guard.On(guard.Floor) {
+		floor = statement.Position{}
+	}
 	req.Floor = &peerpb.Token{Group: o.route.Group, Term: floor.Term, Position: floor.Number}
 	began := o.now()
 	limit := min(o.deadline, began+max(shortestAttempt, time.Duration(attemptShare*float64(o.target()))))
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/guard"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -313,7 +314,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), route.Deadline.Std())
 	defer cancel()
-	if err := s.f.opt.Limiter.Admit(ctx, s.customer); err != nil {
+	if err := s.f.opt.Limiter.Admit(ctx, s.customer); err != nil && guard.On(guard.Rate) {
 		return verdict.From(err)
 	}
 	return nil
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -23,6 +23,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/executor"
 	"github.com/cranberryhinge/cranberryhinge/internal/failover"
 	"github.com/cranberryhinge/cranberryhinge/internal/frontend"
+	"github.com/cranberryhinge/cranberryhinge/internal/guard"
 	"github.com/cranberryhinge/cranberryhinge/internal/limit"
 	"github.com/cranberryhinge/cranberryhinge/internal/ownership"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
@@ -135,7 +136,7 @@
 // connect joins the parts.
 func (h *Host) connect(a Adapters) {
 	self := ownership.Host{
-		Name: h.settings.Name, Zone: h.settings.Zone, Address: h.settings.Listen.Peer, Incarnation: rand.Uint64() >> 1,
+		Name: h.settings.Name, Zone: h.settings.Zone, Address: h.settings.Listen.Advertise, Incarnation: rand.Uint64() >> 1,
 	}
 	h.catalog = catalog.NewShell(catalog.Options{
 		Sources: a.Sources, Zones: h.settings.Zones, Watcher: a.Watcher, KeyGrace: h.settings.KeyGrace.Std(),
@@ -291,7 +292,9 @@
 	h.owners.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.StopGrace.Std()-stopMargin)
 	defer cancel()
-	h.frontend.Drain(ctx)
+	if guard.On(guard.Drain) {
+		h.frontend.Drain(ctx)
+	}
 	leave, cancelLeave := context.WithTimeout(ctx, leaveTimeout)
 	defer cancelLeave()
 	waitFor(leave, rolesInterval, func() bool { return h.owners.Remaining() == 0 })
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -42,10 +42,12 @@
 
 // ListenSettings are the addresses of the listeners.
 type ListenSettings struct {
-	Client  string `yaml:"client"`
-	Peer    string `yaml:"peer"`
-	Ready   string `yaml:"ready"`
-	Metrics string `yaml:"metrics"`
+	Client string `yaml:"client"`
+	Peer   string `yaml:"peer"`
+	// Advertise is the address that other hosts use; empty for Peer.
+	Advertise string `yaml:"advertise,omitempty"`
+	Ready     string `yaml:"ready"`
+	Metrics   string `yaml:"metrics"`
 }
 
 // LoadSettings reads settings strictly and checks them.
@@ -58,6 +60,9 @@
 	if err := config.DecodeStrict(path, data, &s); err != nil {
 		return Settings{}, err
 	}
+	if s.Listen.Advertise == "" {
+		s.Listen.Advertise = s.Listen.Peer
+	}
 	return s, s.Check()
 }
 
@@ -66,6 +71,7 @@
 	for _, a := range []struct{ name, value string }{
 		{"listen.client", s.Listen.Client},
 		{"listen.peer", s.Listen.Peer},
+		{"listen.advertise", s.Listen.Advertise},
 		{"listen.ready", s.Listen.Ready},
 		{"listen.metrics", s.Listen.Metrics},
 		{"store", s.Store},
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
+	"github.com/cranberryhinge/cranberryhinge/internal/guard"
 	"github.com/cranberryhinge/cranberryhinge/internal/platform"
 )
 
@@ -380,7 +382,7 @@
 
 // settled reports whether the holder that the row names may use the role by now.
 func (r *roleRow) settled(now time.Duration) bool {
-	return r.Immediate || now >= r.seen+clock.Longer(LeaseTTL)
+	return r.Immediate || now >= r.seen+clock.Longer(LeaseTTL) || !guard.On(guard.Takeover)
 }
 
 // LeaseUntil returns the end of the time in which this host may use its roles.
@@ -388,6 +390,9 @@
 	if !m.known || m.replaced {
 		return 0
 	}
+	if !guard.On(guard.Lease) {
+		return math.MaxInt64
+	}
 	return m.confirmed + clock.Shorter(LeaseTTL)
 }
 
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,133 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind names a fault or a change.
+type Kind string
+
+// Kinds of events.
+const (
+	KillHost      Kind = "kill_host"
+	KillAll       Kind = "kill_all"
+	StopHost      Kind = "stop_host"
+	PauseHost     Kind = "pause_host"
+	CutPeers      Kind = "cut_peers"
+	SilencePeers  Kind = "silence_peers"
+	OneWayPeers   Kind = "one_way_peers"
+	DelayPeers    Kind = "delay_peers"
+	CutStore      Kind = "cut_store"
+	SilenceStore  Kind = "silence_store"
+	StoreDown     Kind = "store_down"
+	StoreSilent   Kind = "store_silent"
+	StoreSlow     Kind = "store_slow"
+	StoreLosing   Kind = "store_losing"
+	StoreForgets  Kind = "store_forgets"
+	CrashPrimary  Kind = "crash_primary"
+	CrashReplica  Kind = "crash_replica"
+	StuckReplica  Kind = "stuck_replica"
+	LoseAnswers   Kind = "lose_answers"
+	SlowDatabase  Kind = "slow_database"
+	DrainDatabase Kind = "drain_database"
+	LateOrders    Kind = "late_orders"
+	Evacuate      Kind = "evacuate"
+	WithdrawKey   Kind = "withdraw_key"
+	Configure     Kind = "configure"
+	Malformed     Kind = "malformed_entry"
+)
+
+// kinds are all kinds with the longest time that they last; 0 for those that take
+// no time.
+var kinds = []struct {
+	kind Kind
+	most time.Duration
+}{
+	{KillHost, 3 * time.Second},
+	{KillAll, time.Second},
+	{StopHost, 0},
+	{PauseHost, 6 * time.Second},
+	{CutPeers, 6 * time.Second},
+	{SilencePeers, 6 * time.Second},
+	{OneWayPeers, 6 * time.Second},
+	{DelayPeers, 5 * time.Second},
+	{CutStore, 8 * time.Second},
+	{SilenceStore, 8 * time.Second},
+	{StoreDown, 5 * time.Second},
+	{StoreSilent, 5 * time.Second},
+	{StoreSlow, 5 * time.Second},
+	{StoreLosing, 5 * time.Second},
+	{StoreForgets, 0},
+	{CrashPrimary, 6 * time.Second},
+	{CrashReplica, 6 * time.Second},
+	{StuckReplica, 5 * time.Second},
+	{LoseAnswers, 4 * time.Second},
+	{SlowDatabase, 4 * time.Second},
+	{DrainDatabase, 6 * time.Second},
+	{LateOrders, 6 * time.Second},
+	{Evacuate, 7 * time.Second},
+	{WithdrawKey, 0},
+	{Configure, 0},
+	{Malformed, 0},
+}
+
+// planned kinds are planned work; the others are faults.
+var planned = map[Kind]bool{StopHost: true, DrainDatabase: true, Evacuate: true, WithdrawKey: true, Configure: true, Malformed: true}
+
+// Event is one fault or change.
+type Event struct {
+	At   time.Duration `json:"at"`
+	Kind Kind          `json:"kind"`
+	// Target chooses among hosts, databases or customers.
+	Target int           `json:"target"`
+	For    time.Duration `json:"for"`
+}
+
+func (e Event) String() string { return fmt.Sprintf("%v %s %d for %v", e.At, e.Kind, e.Target, e.For) }
+
+// Plan is what a seed draws.
+type Plan struct {
+	Seed     uint64        `json:"seed"`
+	Hosts    int           `json:"hosts"`
+	Groups   int           `json:"groups"`
+	Callers  int           `json:"callers"`
+	Duration time.Duration `json:"duration"`
+	Events   []Event       `json:"events"`
+}
+
+const (
+	// warmUp is the time without events at the beginning, for the hosts to take
+	// their roles.
+	warmUp = 4 * time.Second
+	// recovery is the time without events before the last judgement.
+	recovery = 14 * time.Second
+	// judged is the last part of the run, in which service has to be back.
+	judged = 3 * time.Second
+)
+
+// NewPlan draws a plan. Events come alone, in series and overlapping.
+func NewPlan(seed uint64, hosts, callers int, duration time.Duration) Plan {
+	r := rand.New(rand.NewPCG(seed, 0))
+	p := Plan{Seed: seed, Hosts: hosts, Groups: 2, Callers: callers, Duration: duration}
+	for at := warmUp; at < duration-recovery; {
+		k := kinds[r.IntN(len(kinds))]
+		series := 1
+		if r.IntN(4) == 0 {
+			series = 2 + r.IntN(2)
+		}
+		for range series {
+			e := Event{At: at, Kind: k.kind, Target: r.IntN(1 << 16)}
+			if k.most > 0 {
+				e.For = k.most/4 + time.Duration(r.Int64N(int64(k.most*3/4)))
+			}
+			p.Events = append(p.Events, e)
+			at += time.Duration(r.Int64N(int64(700 * time.Millisecond)))
+		}
+		at += time.Duration(r.Int64N(int64(2500 * time.Millisecond)))
+	}
+	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
+	return p
+}
