--- a/internal/catalog/shell.go
+++ b/internal/catalog/shell.go
@@ -18,15 +18,14 @@
 
 const (
 	// pollWait is how long the store may hold a poll. Changes are answered at
-	// once; confirmations come from peers, too.
-	pollWait = 6 * time.Second
+	// once; confirmations come from peers, too. The store keeps 20 s of history.
+	pollWait = 15 * time.Second
 	// registryAge bounds how long a connection that went silent hides a change of
 	// the registry.
 	registryAge = 4 * time.Second
-	// confirmations is the number of short polls of the configuration within the
-	// key grace when peers confirm nothing, so that a lost answer does not stop
-	// keyed requests.
-	confirmations = 3
+	// confirmAge is the part of the key grace, in tenths, at which a host polls for
+	// itself when peers confirm nothing. Two lost answers fit into the rest.
+	confirmAge = 4
 	// graceMarginPercent is kept back from the key grace for the difference of
 	// clocks and the time from the check to the backend server.
 	graceMarginPercent = 10
@@ -74,7 +73,7 @@
 			Log: opt.Log, Counters: opt.Counters, Apply: apply,
 		}
 	}
-	s.configurations = follower(opt.Sources.ConfigurationSpace(), opt.KeyGrace/confirmations, s.configuration)
+	s.configurations = follower(opt.Sources.ConfigurationSpace(), opt.KeyGrace*confirmAge/10, s.configuration)
 	s.servers = follower(opt.Sources.RegistrySpace(), registryAge, s.registry)
 	return s
 }
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -39,6 +39,9 @@
 	pulsePeers      = 2
 	pulsePeersLarge = 1
 	largeFleet      = 32
+	// pulseBrief is the number of further hosts that are asked in brief, for their
+	// confirmations of the store's rows.
+	pulseBrief = 2
 	// sampleAge is the age of the newest sample of a group at which its owner is
 	// asked. Answers of the primary bring samples, too.
 	sampleAge = 400 * time.Millisecond
@@ -172,7 +175,7 @@
 			owners[h.Name] = true
 		}
 	}
-	random := pulsePeers
+	random, brief := pulsePeers, pulseBrief
 	if len(others) >= largeFleet {
 		random = pulsePeersLarge
 	}
@@ -185,6 +188,9 @@
 			out = append(out, target{Host: h})
 		case owners[h.Name] || suspects[h.Name]:
 			out = append(out, target{Host: h, brief: true})
+		case brief > 0:
+			brief--
+			out = append(out, target{Host: h, brief: true})
 		}
 	}
 	return out
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -23,10 +23,10 @@
 	LeaseTTL = 3 * time.Second
 	// PollWait is how long the store may hold a poll of the roles. Changes are
 	// answered at once; confirmations come from peers, too.
-	PollWait = 6 * time.Second
+	PollWait = 15 * time.Second
 	// PollAge is the age of the confirmation at which a host polls for itself. One
 	// lost answer and the next poll fit into the lease.
-	PollAge = 1500 * time.Millisecond
+	PollAge = 1800 * time.Millisecond
 	// settleTime is how long a host that has just started, or that has heard
 	// nobody for a while, leaves vacant roles alone, so that it knows of the
 	// others first. Hosts that start together do so within 0.3 s.
