Close the client listener before a planned stop ends

Change: the listener is closed when no session is left, and sessions that came in until then are served. TestNoSessionIsAcceptedAfterADrain fails without it. The soak names the request that a stop cuts, and whether it ran.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -165,6 +165,17 @@
 	began := f.opt.Clock()
 	wait(ctx, closeIdleAfter)
 	f.endSessions(ctx, func() { f.closing = true })
+	f.awaitEnd(ctx, began)
+	// A session that is accepted up to here is still served.
+	if err := f.opt.Listener.Close(); err != nil {
+		f.opt.Log.Warn().Err(err).Msg("client listener not closed")
+	}
+	wait(ctx, drainPoll)
+	f.awaitEnd(ctx, began)
+}
+
+// awaitEnd waits until no session is left.
+func (f *Frontend) awaitEnd(ctx context.Context, began time.Duration) {
 	for f.Sessions() > 0 && ctx.Err() == nil {
 		if f.opt.Clock()-began >= f.opt.AbortAfter {
 			f.endSessions(ctx, func() { f.aborting = true })
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -428,3 +429,20 @@
 	c.do(statement.Rollback, "ROLLBACK")
 	assert.Equal(t, x.limiter.admitted, 1)
 }
+
+// Guards against a session that is accepted when the others have ended and is cut
+// by the end of the process (soak seed 204).
+func TestNoSessionIsAcceptedAfterADrain(t *testing.T) {
+	x := newFixture(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	x.f.opt.Listener = listener
+	done := make(chan error)
+	go func() { done <- x.f.Run() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	x.f.Drain(ctx)
+	_, err = net.Dial("tcp", listener.Addr().String())
+	assert.Assert(t, err != nil, "a session was accepted")
+	assert.NilError(t, <-done)
+}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -142,7 +142,8 @@
 	stopped := p.stoppedAt()
 	within := sent.After(stopped) && time.Since(stopped) < stopGrace+time.Second
 	if within && r.soundSince(sent) {
-		r.world.Oracle.Breach("LOST: a request sent %v after the stop of %s was cut", sent.Sub(stopped), p.settings.Name)
+		r.world.Oracle.Breach("LOST: %s, sent %v after the stop of %s, was cut %v later, ran %t",
+			o.ID, sent.Sub(stopped), p.settings.Name, time.Since(sent), r.world.Oracle.Ran(o.ID))
 	}
 	return false
 }
