--- a/internal/cli/configure.go
+++ b/internal/cli/configure.go
@@ -34,13 +34,19 @@
 	flags := ff.NewFlagSet("check")
 	a.jsonFlag(flags)
 	settings := flags.String(0, "settings", "", "also check a host's settings file against the configuration")
+	protocol := protocolFlag(flags)
 	return &ff.Command{
 		Name:      "check",
 		Usage:     "cranberryhinge check [--json] [--settings <FILE>] <DIRECTORY>",
-		ShortHelp: "check inventory.yaml and rules.yaml in a directory",
-		LongHelp:  "EXAMPLE\n  cranberryhinge check examples/sundarban",
-		Flags:     flags,
+		ShortHelp: "check inventory.yaml and rules.yaml in a directory, or a host's settings",
+		LongHelp: "With --protocol line the configuration is the platform's, and only the settings of a host are\n" +
+			"checked.\n\nEXAMPLE\n  cranberryhinge check examples/sundarban\n" +
+			"  cranberryhinge check --protocol line --settings examples/line-host.yaml",
+		Flags: flags,
 		Exec: func(_ context.Context, args []string) error {
+			if *protocol == protocolLine {
+				return a.checkLine(*settings)
+			}
 			dir, err := oneArg(args, "the configuration directory")
 			if err != nil {
 				return err
--- a/internal/cli/line.go
+++ b/internal/cli/line.go
@@ -6,6 +6,8 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/peterbourgon/ff/v4"
+
 	"github.com/cranberryhinge/cranberryhinge/internal/host"
 	"github.com/cranberryhinge/cranberryhinge/platform"
 )
@@ -16,14 +18,42 @@
 	protocolLine       = "line"
 )
 
-// serveLine runs a host that speaks the line protocol. Without a path it takes
-// the settings from where the platform puts them.
-func (a *app) serveLine(ctx context.Context, path string) error {
-	if path == "" {
-		path = platform.SettingsFile()
+// protocolFlag adds --protocol to a flag set.
+func protocolFlag(flags *ff.FlagSet) *string {
+	return flags.StringEnum(0, "protocol", "protocol of callers and backend servers: postgresql or line", protocolPostgreSQL, protocolLine)
+}
+
+// settingsPath returns the path of a host's settings. Without a name it is where
+// the platform puts them.
+func settingsPath(named string) (string, error) {
+	if named == "" {
+		named = platform.SettingsFile()
+	}
+	if named == "" {
+		return "", usagef("--settings is missing")
+	}
+	return named, nil
+}
+
+// checkLine checks the settings of a host that speaks the line protocol.
+func (a *app) checkLine(named string) error {
+	path, err := settingsPath(named)
+	if err != nil {
+		return err
 	}
-	if path == "" {
-		return usagef("--settings is missing")
+	s, err := host.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	a.printf("%s: host %s in zone %s, %d zones: ok\n", path, s.Name, s.Zone, len(s.Zones))
+	return nil
+}
+
+// serveLine runs a host that speaks the line protocol.
+func (a *app) serveLine(ctx context.Context, named string) error {
+	path, err := settingsPath(named)
+	if err != nil {
+		return err
 	}
 	s, err := host.LoadSettings(path)
 	if err != nil {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -16,7 +16,7 @@
 func (a *app) serveCommand() *ff.Command {
 	flags := ff.NewFlagSet("serve")
 	settings := flags.String(0, "settings", "", "YAML file with this host's settings")
-	protocol := flags.StringEnum(0, "protocol", "protocol of callers and backend servers: postgresql or line", protocolPostgreSQL, protocolLine)
+	protocol := protocolFlag(flags)
 	return &ff.Command{
 		Name:      "serve",
 		Usage:     "cranberryhinge serve [--protocol <PROTOCOL>] --settings <FILE>",
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,50 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a plan that differs between two runs of a seed, or that leaves
+// no time to recover.
+func TestPlan(t *testing.T) {
+	a, err := json.Marshal(NewPlan(7, 6, 24, time.Minute))
+	assert.NilError(t, err)
+	b, err := json.Marshal(NewPlan(7, 6, 24, time.Minute))
+	assert.NilError(t, err)
+	assert.Equal(t, string(a), string(b))
+	seen := map[Kind]bool{}
+	for seed := range uint64(60) {
+		for _, e := range NewPlan(seed, 6, 24, time.Minute).Events {
+			seen[e.Kind] = true
+			assert.Assert(t, e.At+e.For < time.Minute-judged, "%s of seed %d lasts into the judged time", e, seed)
+		}
+	}
+	assert.Equal(t, len(seen), len(kinds))
+}
+
+// Guards against any broken promise with real processes, in a short run of a seed
+// that has failed before.
+func TestSoakSmoke(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	binary := filepath.Join(t.TempDir(), "cranberryhinge")
+	out, err := exec.Command("go", "build", "-o", binary, "../../cmd/cranberryhinge").CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	dir := t.TempDir()
+	r, err := Run(context.Background(), Options{Plan: NewPlan(204, 4, 8, 24*time.Second), Binary: binary, Dir: dir, Out: io.Discard})
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Breaches), 0, "%v", r.Breaches)
+	assert.Assert(t, r.Served > 200, "%d served", r.Served)
+	_, err = os.Stat(filepath.Join(dir, "result.json"))
+	assert.NilError(t, err)
+}
