Find closed idle connections before use, and limit requests to cold servers

Cause: a statement sent on a connection that its server had closed while it was idle is in doubt, although it never ran; after a crash or a reset that was every first statement of a connection. Cold servers had no limit. Change: the home host looks for the end of an idle connection before it uses it, closes those idle for 30 s, and admits cold_per_s requests to a cold server.

--- a/internal/backend/dispatcher.go
+++ b/internal/backend/dispatcher.go
@@ -266,11 +266,11 @@
 	return d.dispatch(now)
 }
 
-// DropIdle closes all idle connections.
-func (d *Dispatcher) DropIdle(now time.Duration) []Action {
+// DropIdle closes the connections that have been idle for the time.
+func (d *Dispatcher) DropIdle(now, idle time.Duration) []Action {
 	d.out = d.out[:0]
 	for _, c := range d.conns {
-		if !c.busy && !c.opening {
+		if !c.busy && !c.opening && now-c.used >= idle {
 			d.close(c)
 		}
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -37,8 +37,12 @@
 	Born int64
 	// SaysPrimary is the server's own view of its role.
 	SaysPrimary bool
-	// ColdFor is how much longer the server was cold when it said so.
-	ColdFor time.Duration
+	// ColdFor is how much longer the server was cold when it said so, ColdUntil the
+	// end of that on the own clock.
+	ColdFor, ColdUntil time.Duration
+	// ColdRate is the number of requests a second that it takes until then; 0 for
+	// no limit.
+	ColdRate float64
 }
 
 // Usable reports whether the server may get new work.
@@ -193,6 +197,9 @@
 			delete(c.servers, name)
 			continue
 		}
+		if s.ColdFor > 0 {
+			s.ColdUntil = now + s.ColdFor
+		}
 		c.servers[name] = s
 	}
 }
@@ -247,7 +254,7 @@
 		if !known {
 			continue // a group that the configuration does not name
 		}
-		x.Connections = g.Connections
+		x.Connections, x.ColdRate = g.Connections, g.ColdRate
 		s.servers[name] = x
 		s.groups[x.Group] = append(s.groups[x.Group], x)
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -33,6 +33,9 @@
 	// idleTxMargin is added to the limit at the home host, because the entry host
 	// ends idle transactions first unless it is gone.
 	idleTxMargin = 500 * time.Millisecond
+	// maxIdle closes connections that have not been used for so long, before a
+	// server does; servers close them after a minute.
+	maxIdle = 30 * time.Second
 	// rollbackTimeout bounds a rollback; the connection is closed after it.
 	rollbackTimeout = 300 * time.Millisecond
 )
@@ -116,6 +119,9 @@
 	var abandoned []*transaction
 	var retired, foreign []*lane
 	x.mu.Lock()
+	for _, l := range x.lanes {
+		l.do(func(now time.Duration) []backend.Action { return l.machine.DropIdle(now, maxIdle) })
+	}
 	for handle, tx := range x.txs {
 		if !tx.busy && now-tx.used > limit+idleTxMargin {
 			delete(x.txs, handle)
@@ -133,7 +139,7 @@
 	x.mu.Unlock()
 	for _, l := range foreign {
 		// The connections count at the server, where the new home host needs them.
-		l.do(l.machine.DropIdle)
+		l.do(func(now time.Duration) []backend.Action { return l.machine.DropIdle(now, 0) })
 	}
 	for _, tx := range abandoned {
 		x.opt.Counters.Add("transactions_abandoned", 1)
@@ -245,7 +251,10 @@
 	if err != nil {
 		return err
 	}
-	id, conn, err := l.acquire(c.ctx, c.req.GetCustomer(), int(c.req.GetPriority()), time.Duration(c.req.GetWaitUs())*time.Microsecond, c.deadline)
+	if !l.admitCold() {
+		return verdict.New(verdict.NotRun, verdict.QueueFull, "%s is cold and takes %.0f requests a second", server, l.coldRate())
+	}
+	id, conn, err := c.acquire(l)
 	if err != nil {
 		return err
 	}
@@ -266,6 +275,24 @@
 	return c.run(tx, 0)
 }
 
+// maxClosed bounds the closed connections that one request comes upon. A server
+// that has restarted has closed all of a customer's.
+const maxClosed = 8
+
+// acquire waits for a slot and an open connection.
+func (c *call) acquire(l *lane) (backend.RequestID, *conn, error) {
+	wait := time.Duration(c.req.GetWaitUs()) * time.Microsecond
+	for range maxClosed {
+		id, conn, err := l.acquire(c.ctx, c.req.GetCustomer(), int(c.req.GetPriority()), wait, c.deadline)
+		if err != nil || conn.Open() {
+			return id, conn, err
+		}
+		c.x.opt.Counters.Add("backend_connections_found_closed", 1)
+		l.finish(id, conn, false)
+	}
+	return 0, nil, verdict.New(verdict.NotRun, verdict.ConnectionLost, "%s had closed its idle connections", l.server.Name)
+}
+
 // ready makes sure that the connection answers and that it is still allowed to
 // use the server as the primary.
 func (c *call) ready(tx *transaction) error {
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -30,6 +30,7 @@
 	number  uint64
 	resets  int
 	silent  bool
+	hungUp  bool // its idle connections are closed
 	maxOpen int
 	open    int
 }
@@ -95,6 +96,12 @@
 	return statement.Result{Signature: "sig", State: c.state, Position: statement.Position{Term: 1, Number: c.s.number}}
 }
 
+func (c *fakeConn) Open() bool {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	return !c.s.hungUp
+}
+
 func (c *fakeConn) Status(time.Time) (statement.Status, error) { return statement.Status{}, nil }
 
 func (c *fakeConn) Reset(time.Time) error {
@@ -140,7 +147,8 @@
 	a.lost++
 }
 
-type oneServer struct{}
+// oneServer registers one server, which is cold for the time.
+type oneServer struct{ cold time.Duration }
 
 func (oneServer) ConfigurationSpace() string    { return "conf" }
 func (oneServer) RegistrySpace() string         { return "reg" }
@@ -150,11 +158,11 @@
 func (oneServer) DecodeConfiguration([]byte) (*catalog.Configuration, error) {
 	doc := &config.Document{Version: 1}
 	doc.Inventory.Groups = []config.Group{{Name: "g"}}
-	return &catalog.Configuration{Document: doc, Groups: map[string]catalog.GroupSettings{"g": {Connections: 12}}, IdleTx: 100 * time.Millisecond}, nil
+	return &catalog.Configuration{Document: doc, Groups: map[string]catalog.GroupSettings{"g": {Connections: 12, ColdRate: 20}}, IdleTx: 100 * time.Millisecond}, nil
 }
 
-func (oneServer) DecodeServer(string, []byte) (catalog.Server, error) {
-	return catalog.Server{Server: config.Server{Name: "db", Address: "a:1", Slots: 2}, Group: "g"}, nil
+func (o oneServer) DecodeServer(string, []byte) (catalog.Server, error) {
+	return catalog.Server{Server: config.Server{Name: "db", Address: "a:1", Slots: 2}, Group: "g", ColdFor: o.cold}, nil
 }
 
 type fixture struct {
@@ -164,9 +172,11 @@
 	x    *Executor
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T) *fixture { return newColdFixture(t, 0) }
+
+func newColdFixture(t *testing.T, cold time.Duration) *fixture {
 	f := &fixture{t: t, srv: &server{}, auth: &authority{leads: true}}
-	c := catalog.New(oneServer{}, []string{"z"}, customer.Window{})
+	c := catalog.New(oneServer{cold: cold}, []string{"z"}, customer.Window{})
 	change := func(key string) []platform.Change { return []platform.Change{{Row: platform.Row{Key: key}}} }
 	c.ConfigurationRows(change("conf/x"), true)
 	c.RegistryRows(0, change("reg/db"), true)
@@ -352,3 +362,32 @@
 	assert.Equal(t, f.x.Transactions(), 0)
 	assert.Equal(t, f.srv.open, 0)
 }
+
+// Guards against a write in doubt, only because its connection was closed while it
+// was idle.
+func TestClosedIdleConnectionIsFoundBeforeUse(t *testing.T) {
+	f := newFixture(t)
+	assert.Assert(t, f.do(write()).GetFailure() == nil)
+	f.srv.mu.Lock()
+	f.srv.hungUp = true
+	f.srv.mu.Unlock()
+	f.wantFailure(f.do(write()), verdict.NotRun, verdict.ConnectionLost)
+	assert.Equal(t, f.srv.number+uint64(len(f.srv.seen)), uint64(1))
+}
+
+// Guards against a server that is overrun right after its start.
+func TestColdServerGetsFewRequests(t *testing.T) {
+	f := newColdFixture(t, 400*time.Millisecond)
+	begin, served := time.Now(), 0
+	for time.Since(begin) < 300*time.Millisecond {
+		if f.do(read()).GetFailure() == nil {
+			served++
+		}
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, served >= 2 && served <= 7, "%d served in 0.3 s at 20 a second", served)
+	time.Sleep(150 * time.Millisecond)
+	for range 20 {
+		assert.Assert(t, f.do(read()).GetFailure() == nil)
+	}
+}
--- a/internal/executor/lane.go
+++ b/internal/executor/lane.go
@@ -37,6 +37,10 @@
 	// have not answered since have to prove that they are not silent.
 	overdue time.Duration
 	retired bool
+	// coldTokens are the requests that the server may get while it is cold, as of
+	// coldAt.
+	coldTokens float64
+	coldAt     time.Duration
 }
 
 // conn is a backend connection with what this host knows of its state.
@@ -117,7 +121,7 @@
 	l.conns[id] = &conn{Conn: raw, id: id, customer: customer, values: map[string]string{}, prepared: map[string]bool{}, answered: now}
 	l.apply(l.machine.Opened(now, id))
 	if l.retired {
-		l.apply(l.machine.DropIdle(now))
+		l.apply(l.machine.DropIdle(now, 0))
 	}
 }
 
@@ -209,7 +213,36 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.retired = true
-	l.apply(l.machine.DropIdle(l.x.opt.Clock()))
+	l.apply(l.machine.DropIdle(l.x.opt.Clock(), 0))
+}
+
+// coldRate returns the number of requests a second that the server takes while it
+// is cold, 0 when it is not.
+func (l *lane) coldRate() float64 {
+	s, ok := l.x.opt.Snapshot().Server(l.server.Name)
+	if !ok || l.x.opt.Clock() >= s.ColdUntil {
+		return 0
+	}
+	return s.ColdRate
+}
+
+// admitCold reports whether a server may get another request now. A server that
+// has just started gets few, so that it is not overrun.
+func (l *lane) admitCold() bool {
+	rate := l.coldRate()
+	if rate <= 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.x.opt.Clock()
+	l.coldTokens = min(1, l.coldTokens+rate*(now-l.coldAt).Seconds())
+	l.coldAt = now
+	if l.coldTokens < 1 {
+		return false
+	}
+	l.coldTokens--
+	return true
 }
 
 // noteOverdue remembers that an answer did not come.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,7 +34,7 @@
 	SlowDatabase  Kind = "slow_database"
 	DrainDatabase Kind = "drain_database"
 	LateOrders    Kind = "late_orders"
-	Evacuate      Kind = "evacuate"
+	ZoneOut       Kind = "zone_out"
 	WithdrawKey   Kind = "withdraw_key"
 	Configure     Kind = "configure"
 	Malformed     Kind = "malformed_entry"
@@ -68,14 +68,14 @@
 	{SlowDatabase, 4 * time.Second},
 	{DrainDatabase, 6 * time.Second},
 	{LateOrders, 6 * time.Second},
-	{Evacuate, 7 * time.Second},
+	{ZoneOut, 7 * time.Second},
 	{WithdrawKey, 0},
 	{Configure, 0},
 	{Malformed, 0},
 }
 
 // planned kinds are planned work; the others are faults.
-var planned = map[Kind]bool{StopHost: true, DrainDatabase: true, Evacuate: true, WithdrawKey: true, Configure: true, Malformed: true}
+var planned = map[Kind]bool{StopHost: true, DrainDatabase: true, ZoneOut: true, WithdrawKey: true, Configure: true, Malformed: true}
 
 // Event is one fault or change.
 type Event struct {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -288,7 +288,7 @@
 		r.world.LoseOrders(true)
 		time.Sleep(e.For)
 		r.world.LoseOrders(false)
-	case Evacuate:
+	case ZoneOut:
 		zone := zones[e.Target%len(zones)]
 		r.world.Evacuate(zone, true)
 		time.Sleep(e.For)
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -144,6 +144,8 @@
 	Run(deadline time.Time, commands ...Command) ([]Result, error)
 	// Status asks the server for its role and position.
 	Status(deadline time.Time) (Status, error)
+	// Open reports whether the server has not closed the idle connection.
+	Open() bool
 	// Reset drops session values and prepared statements.
 	Reset(deadline time.Time) error
 	Close()
