--- a/internal/executor/lane.go
+++ b/internal/executor/lane.go
@@ -258,10 +258,3 @@
 	defer l.mu.Unlock()
 	return c.answered < l.overdue
 }
-
-// load returns what the lane is doing, for the status page.
-func (l *lane) load() (waiting, running, connections int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.machine.Waiting(), l.machine.Running(), l.machine.Connections()
-}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -147,7 +147,7 @@
 }
 
 // sources gives one configuration with a route for each mode and one key.
-type sources struct{ keys []string }
+type sources struct{}
 
 func (sources) ConfigurationSpace() string                          { return "conf" }
 func (sources) RegistrySpace() string                               { return "reg" }
@@ -157,7 +157,7 @@
 
 const keyDigest = "2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683" // sha256 of "key"
 
-func (s sources) DecodeConfiguration(value []byte) (*catalog.Configuration, error) {
+func (sources) DecodeConfiguration(value []byte) (*catalog.Configuration, error) {
 	doc := &config.Document{Version: config.Version(len(value))}
 	doc.Inventory.Groups = []config.Group{{Name: "g"}}
 	if string(value) != "withdrawn" {
--- a/internal/limit/limiter_test.go
+++ b/internal/limit/limiter_test.go
@@ -138,7 +138,8 @@
 	limiters, _ := newTestLimiters(t, config.Limit{Customer: "acme", Rate: 0.05, Burst: 2}, "a")
 	l := limiters["a"]
 	admit := func() bool { return l.Admit(context.Background(), "acme") == nil }
-	assert.Assert(t, admit() && admit())
+	assert.Assert(t, admit())
+	assert.Assert(t, admit())
 	assert.Assert(t, !admit())
 	l.Return("acme")
 	assert.Assert(t, admit())
