Use one sleep, one failure codec and one choice of a server where several stood

Removed: failover's LastPosition and SaysPrimary and the dispatcher's Waiting and Running, which nothing used. Two tests call the shared functions; their assertions are as they were. Behaviour stays.

--- a/internal/backend/dispatcher.go
+++ b/internal/backend/dispatcher.go
@@ -94,16 +94,9 @@
 	return n
 }
 
-// Waiting returns the number of waiting requests, Running that of used slots and
-// Connections that of connections.
-func (d *Dispatcher) Waiting() int { return len(d.queue) }
-
-// Running returns the number of used slots.
-func (d *Dispatcher) Running() int { return d.running }
-
-// Connections returns the number of connections, including those being opened
-// or closed.
-func (d *Dispatcher) Connections() int { return len(d.conns) + d.gone }
+// connections returns the number of connections, including those being opened or
+// closed.
+func (d *Dispatcher) connections() int { return len(d.conns) + d.gone }
 
 // ExpectedWait estimates how long a new request of the priority would wait for
 // a slot.
@@ -408,7 +401,7 @@
 // makeRoom closes the least recently used idle connection of another customer
 // when the budget is used up, and reports whether a connection may be opened.
 func (d *Dispatcher) makeRoom(now time.Duration, customer string) bool {
-	if d.Connections() < d.budget(now) {
+	if d.connections() < d.budget(now) {
 		return true
 	}
 	var oldest *dispatchConn
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -79,6 +79,18 @@
 	return s.Document.Version
 }
 
+// defaultIdleTx bounds the idle time of a transaction when the configuration does
+// not.
+const defaultIdleTx = 30 * time.Second
+
+// IdleLimit returns how long a transaction may stay idle.
+func (s *Snapshot) IdleLimit() time.Duration {
+	if s.Configuration == nil || s.IdleTx <= 0 {
+		return defaultIdleTx
+	}
+	return s.IdleTx
+}
+
 // Route returns the route with the name.
 func (s *Snapshot) Route(name string) (config.Route, bool) {
 	if s.Configuration == nil {
@@ -170,6 +182,7 @@
 			continue
 		}
 		if c.current == nil || next.Document.Version > c.current.Document.Version {
+			c.complete(next.Document)
 			c.current = next
 		}
 	}
@@ -246,7 +259,7 @@
 	}
 	slices.Sort(s.ZonesOut)
 	if c.current != nil {
-		s.Configuration = c.completed()
+		s.Configuration = c.current
 		s.index()
 	}
 	for name, x := range c.servers {
@@ -264,21 +277,17 @@
 	return s
 }
 
-// completed adds the zones of the deployment, which the rate limits are shared
-// among, to the document, and turns the limits into token buckets.
-func (c *Catalog) completed() *Configuration {
-	doc := c.current.Document
-	if doc.Index == nil {
-		for _, z := range c.zones {
-			doc.Inventory.Zones = append(doc.Inventory.Zones, config.Zone{Name: z})
-		}
-		for i, l := range doc.Rules.Limits {
-			b := c.window.Bucket(customer.Limit{Rate: l.Rate, Burst: l.Burst})
-			doc.Rules.Limits[i].Rate, doc.Rules.Limits[i].Burst = b.Rate, b.Burst
-		}
-		doc.BuildIndex()
+// complete adds the zones of the deployment, which the rate limits are shared
+// among, to a new document, and turns the limits into token buckets.
+func (c *Catalog) complete(doc *config.Document) {
+	for _, z := range c.zones {
+		doc.Inventory.Zones = append(doc.Inventory.Zones, config.Zone{Name: z})
+	}
+	for i, l := range doc.Rules.Limits {
+		b := c.window.Bucket(customer.Limit{Rate: l.Rate, Burst: l.Burst})
+		doc.Rules.Limits[i].Rate, doc.Rules.Limits[i].Burst = b.Rate, b.Burst
 	}
-	return c.current
+	doc.BuildIndex()
 }
 
 func (s *Snapshot) groupSettings(group string) (GroupSettings, bool) {
--- a/internal/entry/client.go
+++ b/internal/entry/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/session"
@@ -497,7 +498,7 @@
 	t, err := c.entry.positions.get(ctx, c.route.Group, c.customer)
 	for err != nil {
 		// The primary can change before the caller's deadline.
-		if !sleep(ctx, positionPause) {
+		if !clock.Sleep(ctx, positionPause) {
 			return session.Token{}, err
 		}
 		t, err = c.entry.positions.get(ctx, c.route.Group, c.customer)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
@@ -71,7 +72,7 @@
 			// Accept fails when file descriptors run out; sessions that end
 			// free some.
 			e.opts.Counters.Add("accept_errors", 1)
-			if !sleep(ctx, acceptPause) {
+			if !clock.Sleep(ctx, acceptPause) {
 				return nil
 			}
 			continue
@@ -92,17 +93,6 @@
 // acceptPause is the pause after a failed accept.
 const acceptPause = 10 * time.Millisecond
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Sessions returns the number of open sessions.
 func (e *Entry) Sessions() int { return e.sessions.len() }
 
@@ -115,7 +105,7 @@
 		if e.sessions.len() == 0 {
 			return nil
 		}
-		if !sleep(ctx, drainPoll) {
+		if !clock.Sleep(ctx, drainPoll) {
 			return ctx.Err()
 		}
 	}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -227,12 +227,7 @@
 				return
 			}
 		case *peerpb.RunResponse_Failure:
-			f := k.Failure
-			v := verdict.MayHaveRun
-			if f.Verdict == uint32(verdict.NotRun) {
-				v = verdict.NotRun
-			}
-			x.fail(verdict.New(v, verdict.Reason(f.Reason), "%s", f.Message))
+			x.fail(peer.Refusal(k.Failure))
 			return
 		}
 	}
--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -21,14 +21,6 @@
 	deadline time.Duration
 }
 
-func (c *call) fail(e *verdict.Error) {
-	code := uint32(0)
-	if e.Verdict == verdict.NotRun {
-		code = uint32(verdict.NotRun)
-	}
-	c.resp.Failure = &peerpb.Failure{Verdict: code, Reason: string(e.Reason), Message: e.Message}
-}
-
 // wall converts a time of the clock into a deadline for sockets.
 func (c *call) wall(at time.Duration) time.Time { return time.Now().Add(at - c.x.opt.Clock()) }
 
@@ -141,8 +133,7 @@
 
 // begin opens the transaction on the connection. It ends the request on failure.
 func (c *call) begin(tx *transaction) error {
-	kind := statement.Begin
-	cmd := statement.Command{Statement: statement.Statement{ID: c.req.GetBeginId(), Kind: kind, Text: c.req.GetBeginText()}, Floor: floor(c.req)}
+	cmd := statement.Command{Statement: statement.Statement{ID: c.req.GetBeginId(), Kind: statement.Begin, Text: c.req.GetBeginText()}, Floor: floor(c.req)}
 	results, err := c.exchange(tx, cmd)
 	if err == nil && results[0].Err != nil {
 		err = c.judge(tx, results[0].Err)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -10,6 +10,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/backend"
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
@@ -24,9 +25,6 @@
 	busyPause   = 4 * time.Millisecond
 	// sweepInterval is how often abandoned transactions are looked for.
 	sweepInterval = 250 * time.Millisecond
-	// defaultIdleTx bounds the idle time of a transaction when the configuration
-	// does not.
-	defaultIdleTx = 30 * time.Second
 	// idleTxMargin is added to the limit at the home host, because the entry host
 	// ends idle transactions first unless it is gone.
 	idleTxMargin = 500 * time.Millisecond
@@ -108,10 +106,7 @@
 
 func (x *Executor) sweep() {
 	snapshot := x.opt.Snapshot()
-	limit := defaultIdleTx
-	if snapshot.Configuration != nil && snapshot.IdleTx > 0 {
-		limit = snapshot.IdleTx
-	}
+	limit := snapshot.IdleLimit() + idleTxMargin
 	now := x.opt.Clock()
 	var abandoned []*transaction
 	var retired, foreign []*lane
@@ -120,7 +115,7 @@
 		l.do(func(now time.Duration) []backend.Action { return l.machine.DropIdle(now, maxIdle) })
 	}
 	for handle, tx := range x.txs {
-		if !tx.busy && now-tx.used > limit+idleTxMargin {
+		if !tx.busy && now-tx.used > limit {
 			delete(x.txs, handle)
 			abandoned = append(abandoned, tx)
 		}
@@ -194,7 +189,7 @@
 		err = c.start()
 	}
 	if err != nil {
-		c.fail(verdict.From(err))
+		c.resp.Failure = peer.Failure(verdict.From(err))
 	}
 	return c.resp
 }
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -43,8 +43,6 @@
 	Usable bool
 	// ZoneOut says that the server's zone is out of service.
 	ZoneOut bool
-	// SaysPrimary is the server's own view in the registry.
-	SaysPrimary bool
 }
 
 // Action is something for the shell to do.
@@ -239,7 +237,7 @@
 	if now-m.since < suspectAfter || len(m.members) == 0 {
 		return
 	}
-	if best, ok := m.mostAdvanced(now); ok {
+	if best, ok := m.mostAdvanced(now, "", m.sinceEntered); ok {
 		m.decide(now, best, "no primary answers")
 		return
 	}
@@ -261,13 +259,17 @@
 	return best, best != ""
 }
 
-// mostAdvanced returns the usable replica with the newest position.
-func (m *Machine) mostAdvanced(now time.Duration) (string, bool) {
+// sinceEntered reports whether a report was asked for in the present phase.
+func (m *Machine) sinceEntered(r report) bool { return r.sent >= m.since }
+
+// mostAdvanced returns the usable server with the newest position among those with
+// a recent report, but not the excluded one.
+func (m *Machine) mostAdvanced(now time.Duration, except string, recent func(report) bool) (string, bool) {
 	best := ""
 	var at statement.Position
 	for _, x := range m.members {
 		r, ok := m.reports[x.Name]
-		if !ok || !x.Usable || x.Name == m.primary && m.phase != Surveying || r.sent < m.since || now < m.avoid[x.Name] {
+		if !ok || !m.eligible(now, x, except) || !recent(r) {
 			continue
 		}
 		if best == "" || at.Less(r.status.Position) {
@@ -277,6 +279,11 @@
 	return best, best != ""
 }
 
+// eligible reports whether a server may be promoted instead of the excluded one.
+func (m *Machine) eligible(now time.Duration, x Member, except string) bool {
+	return x.Usable && x.Name != except && now >= m.avoid[x.Name]
+}
+
 // decide orders the server to be promoted, in a new epoch if the present one was
 // used for another server.
 func (m *Machine) decide(now time.Duration, server, why string) {
@@ -357,23 +364,13 @@
 // replaceFailed looks for a replica once the primary is suspected. Without one
 // the primary is kept.
 func (m *Machine) replaceFailed(now time.Duration) {
-	fresh := now - surveyTime
-	best := ""
-	var at statement.Position
+	recent := func(r report) bool { return r.seen >= now-surveyTime }
 	for _, x := range m.members {
-		if x.Name == m.primary || !x.Usable || now < m.avoid[x.Name] {
-			continue
-		}
-		r, ok := m.reports[x.Name]
-		if !ok || r.seen < fresh {
+		if r, ok := m.reports[x.Name]; m.eligible(now, x, m.primary) && (!ok || !recent(r)) {
 			m.poll(now, x.Name)
-			continue
-		}
-		if best == "" || at.Less(r.status.Position) {
-			best, at = x.Name, r.status.Position
 		}
 	}
-	if best != "" {
+	if best, ok := m.mostAdvanced(now, m.primary, recent); ok {
 		m.decide(now, best, "primary does not answer")
 	}
 }
@@ -395,7 +392,7 @@
 func (m *Machine) successors(now time.Duration) int {
 	n := 0
 	for _, x := range m.members {
-		if x.Usable && x.Name != m.primary && now >= m.avoid[x.Name] {
+		if m.eligible(now, x, m.primary) {
 			n++
 		}
 	}
@@ -410,7 +407,7 @@
 			m.poll(now, x.Name)
 		}
 	}
-	best, ok := m.mostAdvanced(now)
+	best, ok := m.mostAdvanced(now, m.primary, m.sinceEntered)
 	if !ok {
 		return
 	}
@@ -459,6 +456,3 @@
 		m.enter(now, Surveying, "a statement found the primary without the lead")
 	}
 }
-
-// LastPosition returns the newest known position of the primary.
-func (m *Machine) LastPosition() statement.Position { return m.lastPosition }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -163,14 +163,14 @@
 // passed. It returns when all have ended, or when ctx ends.
 func (f *Frontend) Drain(ctx context.Context) {
 	began := f.opt.Clock()
-	wait(ctx, closeIdleAfter)
+	clock.Sleep(ctx, closeIdleAfter)
 	f.endSessions(ctx, func() { f.closing = true })
 	f.awaitEnd(ctx, began)
 	// A session that is accepted up to here is still served.
 	if err := f.opt.Listener.Close(); err != nil {
 		f.opt.Log.Warn().Err(err).Msg("client listener not closed")
 	}
-	wait(ctx, drainPoll)
+	clock.Sleep(ctx, drainPoll)
 	f.awaitEnd(ctx, began)
 }
 
@@ -180,7 +180,7 @@
 		if f.opt.Clock()-began >= f.opt.AbortAfter {
 			f.endSessions(ctx, func() { f.aborting = true })
 		}
-		wait(ctx, drainPoll)
+		clock.Sleep(ctx, drainPoll)
 	}
 }
 
@@ -197,7 +197,7 @@
 	for _, s := range all {
 		s.client.Interrupt()
 		if !f.isAborting() {
-			wait(ctx, pause)
+			clock.Sleep(ctx, pause)
 		}
 	}
 }
@@ -213,12 +213,3 @@
 	defer f.mu.Unlock()
 	return f.aborting
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/frontend/operation.go
+++ b/internal/frontend/operation.go
@@ -6,6 +6,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/guard"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
@@ -118,7 +119,7 @@
 	if o.tx != nil {
 		o.began = o.tx.used
 	}
-	o.s.f.retryBudget(func(b *routing.Budget) bool { b.First(); return true })
+	o.s.f.firstAttempt()
 	if o.needsPrimary() {
 		return o.atPrimary(nil)
 	}
@@ -132,10 +133,17 @@
 	return o.tx != nil && o.tx.begin.Kind == statement.Begin
 }
 
-func (f *Frontend) retryBudget(use func(*routing.Budget) bool) bool {
+func (f *Frontend) firstAttempt() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return use(f.budget)
+	f.budget.First()
+}
+
+// takeRetry takes one retry from the budget and reports whether there was one.
+func (f *Frontend) takeRetry() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget.Retry(f.opt.Clock())
 }
 
 // continueTransaction sends a statement to the home host that has the
@@ -239,7 +247,7 @@
 				break
 			}
 		}
-		if !o.s.f.retryBudget(func(b *routing.Budget) bool { return b.Retry(o.now()) }) {
+		if !o.s.f.takeRetry() {
 			return nil, last
 		}
 		o.s.f.opt.Counters.Retried(e.Reason)
@@ -348,11 +356,7 @@
 		return nil, err
 	}
 	if f := resp.GetFailure(); f != nil {
-		v := verdict.MayHaveRun
-		if f.GetVerdict() == uint32(verdict.NotRun) {
-			v = verdict.NotRun
-		}
-		return nil, verdict.New(v, verdict.Reason(f.GetReason()), "%s", f.GetMessage())
+		return nil, peer.Refusal(f)
 	}
 	if p := resp.GetPosition(); resp.GetAuthoritative() && p != nil {
 		o.s.f.Observe(o.route.Group, sent, statement.Position{Term: p.GetTerm(), Number: p.GetPosition()})
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// defaultIdleTx ends idle transactions when the configuration sets no limit.
-	defaultIdleTx = 30 * time.Second
 	// rollbackTimeout bounds the rollback at the home host of a transaction whose
 	// caller is gone.
 	rollbackTimeout = time.Second
@@ -189,14 +187,8 @@
 	return true
 }
 
-func (s *session) idleLimitReached() bool { return s.f.opt.Clock() >= s.tx.used+s.idleTx() }
-
-func (s *session) idleTx() time.Duration {
-	snapshot := s.f.opt.Snapshot()
-	if snapshot.Configuration == nil || snapshot.IdleTx <= 0 {
-		return defaultIdleTx
-	}
-	return snapshot.IdleTx
+func (s *session) idleLimitReached() bool {
+	return s.f.opt.Clock() >= s.tx.used+s.f.opt.Snapshot().IdleLimit()
 }
 
 // handle answers one statement. It reports whether the session goes on.
@@ -214,7 +206,7 @@
 	if s.tx != nil && !s.tx.failed {
 		// The limit counts from the last answer.
 		s.tx.used = s.f.opt.Clock()
-		s.client.WakeAt(time.Now().Add(s.idleTx()))
+		s.client.WakeAt(time.Now().Add(s.f.opt.Snapshot().IdleLimit()))
 	}
 	return true
 }
--- a/internal/home/fake_test.go
+++ b/internal/home/fake_test.go
@@ -412,6 +412,12 @@
 	auth *authority
 }
 
+// Values of Failure.verdict.
+const (
+	failureMayHaveRun = 0
+	failureNotRun     = 1
+)
+
 var testServer = config.Server{Name: "db", Slots: 2, Connections: 8}
 
 func newFixture(t testing.TB, edit func(*config.Server, *Options)) *fixture {
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -244,16 +244,6 @@
 	return sendFailure(s, e)
 }
 
-// Values of Failure.verdict.
-const (
-	failureMayHaveRun = 0
-	failureNotRun     = 1
-)
-
 func sendFailure(s peer.RunServerStream, e *verdict.Error) error {
-	f := &peerpb.Failure{Verdict: failureMayHaveRun, Reason: string(e.Reason), Message: e.Message}
-	if e.Verdict == verdict.NotRun {
-		f.Verdict = failureNotRun
-	}
-	return s.Send(&peerpb.RunResponse{Kind: &peerpb.RunResponse_Failure{Failure: f}})
+	return s.Send(&peerpb.RunResponse{Kind: &peerpb.RunResponse_Failure{Failure: peer.Failure(e)}})
 }
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,9 +120,8 @@
 	s := d.snapshot()
 	var out []failover.Member
 	for _, x := range s.Group(group) {
-		zoneOut := !catalog.Server{Server: config.Server{Zone: x.Zone}}.Usable(s.ZonesOut)
 		out = append(out, failover.Member{
-			Name: x.Name, Usable: x.Usable(s.ZonesOut), ZoneOut: zoneOut, SaysPrimary: x.SaysPrimary,
+			Name: x.Name, Usable: x.Usable(s.ZonesOut), ZoneOut: slices.Contains(s.ZonesOut, x.Zone),
 		})
 	}
 	return out
@@ -189,13 +189,6 @@
 
 // waitFor polls a condition until it holds or ctx ends.
 func waitFor(ctx context.Context, every time.Duration, done func() bool) {
-	t := time.NewTicker(every)
-	defer t.Stop()
-	for !done() {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
+	for !done() && clock.Sleep(ctx, every) {
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -273,7 +273,7 @@
 
 // watchRoles lets minters start when their role is gained.
 func (h *Host) watchRoles(ctx context.Context) {
-	waitFor(ctx, rolesInterval, func() bool {
+	for ok := true; ok; ok = clock.Sleep(ctx, rolesInterval) {
 		var held []string
 		for _, spec := range h.directory.wanted() {
 			if _, ok := h.owners.Held(spec.Name); ok {
@@ -281,8 +281,7 @@
 			}
 		}
 		h.minters.Watch(held)
-		return false
-	})
+	}
 }
 
 // drain is the planned stop: roles are given up first, then sessions end.
--- /dev/null
+++ b/internal/peer/failure_test.go
@@ -0,0 +1,21 @@
+package peer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
+)
+
+// Guards against a verdict that becomes NotRun on its way between hosts.
+func TestVerdictTravels(t *testing.T) {
+	for v, want := range map[verdict.Verdict]verdict.Verdict{
+		verdict.NotRun: verdict.NotRun, verdict.MayHaveRun: verdict.MayHaveRun, verdict.Ran: verdict.MayHaveRun,
+	} {
+		got := Refusal(Failure(verdict.New(v, verdict.NoPrimary, "50%% %s", "x")))
+		assert.Equal(t, got.Verdict, want)
+		assert.Equal(t, got.Reason, verdict.NoPrimary)
+		assert.Equal(t, got.Message, "50% x")
+	}
+}
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -97,13 +97,13 @@
 		changed, err := f.call(ctx, wait)
 		switch {
 		case err == nil && changed:
-			sleep(ctx, merge)
+			clock.Sleep(ctx, merge)
 			merge = min(2*merge, mergeCap)
 			pause = retryBase
 		case err == nil:
 			pause, merge = retryBase, mergePause
 		default:
-			sleep(ctx, time.Duration(rand.Int64N(int64(pause))))
+			clock.Sleep(ctx, time.Duration(rand.Int64N(int64(pause))))
 			pause = min(2*pause, retryCap)
 		}
 	}
@@ -114,12 +114,12 @@
 func (f *Follower) watchAge(ctx context.Context) {
 	pause := retryBase
 	for ctx.Err() == nil {
-		sleep(ctx, watchInterval)
+		clock.Sleep(ctx, watchInterval)
 		if !f.due() {
 			continue
 		}
 		if _, err := f.call(ctx, 0); err != nil {
-			sleep(ctx, time.Duration(rand.Int64N(int64(pause))))
+			clock.Sleep(ctx, time.Duration(rand.Int64N(int64(pause))))
 			pause = min(2*pause, retryCap)
 			continue
 		}
@@ -266,12 +266,3 @@
 	}
 	f.Log.Info().Str("space", f.Space).Uint64("revision", uint64(f.revision)).Msg("store regained")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -123,7 +123,7 @@
 		case err != nil:
 			return "", verdict.New(verdict.MayHaveRun, verdict.ConnectionLost, "%v", err)
 		case m.GetFailure() != nil:
-			return "", verdict.New(verdictOf(m.GetFailure()), verdict.Reason(m.GetFailure().Reason), "")
+			return "", verdict.New(peer.Refusal(m.GetFailure()).Verdict, verdict.Reason(m.GetFailure().Reason), "")
 		case m.GetBackend() != nil:
 			return string(m.GetBackend()), nil
 		}
--- a/internal/routing/stream.go
+++ b/internal/routing/stream.go
@@ -129,7 +129,7 @@
 				s.note(m)
 				return m, nil
 			}
-			refused := verdict.New(verdictOf(f), verdict.Reason(f.Reason), "%s", f.Message)
+			refused := peer.Refusal(f)
 			if again := s.again(refused, f.Home); again != nil {
 				return failure(again), nil
 			}
@@ -147,17 +147,8 @@
 	}
 }
 
-func verdictOf(f *peerpb.Failure) verdict.Verdict {
-	if f.Verdict == uint32(verdict.NotRun) {
-		return verdict.NotRun
-	}
-	return verdict.MayHaveRun
-}
-
 func failure(e *verdict.Error) *peerpb.RunResponse {
-	return &peerpb.RunResponse{Kind: &peerpb.RunResponse_Failure{Failure: &peerpb.Failure{
-		Verdict: uint32(e.Verdict), Reason: string(e.Reason), Message: e.Message,
-	}}}
+	return &peerpb.RunResponse{Kind: &peerpb.RunResponse_Failure{Failure: peer.Failure(e)}}
 }
 
 // lost returns the error for an attempt whose stream broke.
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/platform/standin"
 )
 
@@ -29,7 +30,7 @@
 		c, err := standin.Connect(r.world, p.settings.Listen.Client, name, routes[rnd.IntN(len(routes))], customers[rnd.IntN(len(customers))])
 		if err != nil {
 			r.count(false)
-			rest(ctx, retryTime)
+			clock.Sleep(ctx, retryTime)
 			continue
 		}
 		r.session(ctx, rnd, p, c, name)
@@ -37,13 +38,6 @@
 	}
 }
 
-func rest(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // session plays one session to its end.
 func (r *run) session(ctx context.Context, rnd *rand.Rand, p *process, c *standin.Caller, name string) {
 	if rnd.IntN(2) == 0 && !r.judge(p, time.Now(), c.Set(name)) {
@@ -56,7 +50,7 @@
 		}
 	}
 	for range 1 + rnd.IntN(2*sessionLength) {
-		rest(ctx, time.Duration(rnd.Int64N(int64(2*thinkTime))))
+		clock.Sleep(ctx, time.Duration(rnd.Int64N(int64(2*thinkTime))))
 		if ctx.Err() != nil || c.Closed() {
 			return
 		}
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -260,18 +260,3 @@
 	db.mu.Unlock()
 	l.done.Wait()
 }
-
-// sleep waits and reports whether the context is still live.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/exec.go
+++ b/internal/standin/exec.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 )
 
 // result is the answer to one statement. Rows are either listed or generated.
@@ -125,7 +127,7 @@
 		<-s.db.slots
 		cancel(nil)
 	}
-	if !sleep(ctx, s.db.dice.draw(service)) {
+	if !clock.Sleep(ctx, s.db.dice.draw(service)) {
 		err := causeOf(ctx)
 		release()
 		return nil, nil, err
@@ -147,7 +149,7 @@
 		if err != nil {
 			return nil, failf(codeInvalidText, "invalid number: %q", args[0].text)
 		}
-		if !sleep(ctx, time.Duration(seconds*float64(time.Second))) {
+		if !clock.Sleep(ctx, time.Duration(seconds*float64(time.Second))) {
 			return nil, causeOf(ctx)
 		}
 	}
--- a/internal/standin/model_test.go
+++ b/internal/standin/model_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	_ "github.com/cranberryhinge/cranberryhinge/internal/fixedseed"
 )
 
@@ -169,7 +170,7 @@
 	defer cancel()
 	for _, db := range m.group {
 		for db.Status().Position != primary.Status().Position {
-			if !sleep(ctx, time.Millisecond) {
+			if !clock.Sleep(ctx, time.Millisecond) {
 				m.t.Fatalf("%s does not catch up: %+v, primary %+v", db.Name(), db.Status(), primary.Status())
 			}
 		}
--- a/internal/standin/replicate.go
+++ b/internal/standin/replicate.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 )
 
 // replicationMagic opens a replication connection. As the length of a startup
@@ -105,7 +107,7 @@
 		}
 	}()
 	for d := range queue {
-		if !sleep(ctx, time.Until(d.due)) {
+		if !clock.Sleep(ctx, time.Until(d.due)) {
 			break
 		}
 		if err := handle(d.message); err != nil {
@@ -269,7 +271,7 @@
 		if address != "" && reachable {
 			_ = db.followOnce(l.ctx, address, primary, h)
 		}
-		sleep(l.ctx, db.dice.draw(Range{Min: reconnectMin, Max: reconnectMax}))
+		clock.Sleep(l.ctx, db.dice.draw(Range{Min: reconnectMin, Max: reconnectMax}))
 	}
 }
 
@@ -398,7 +400,7 @@
 
 func (db *Database) awaitApply(ctx context.Context, idle bool, wait time.Duration, change <-chan struct{}) {
 	if !idle {
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 		return
 	}
 	select {
--- a/internal/standin/session.go
+++ b/internal/standin/session.go
@@ -13,6 +13,8 @@
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 )
 
 // session is one client connection.
@@ -160,7 +162,7 @@
 func (s *session) authenticate(start *pgproto3.StartupMessage) *sqlError {
 	parameters := maps.Clone(start.Parameters)
 	s.parseApplication(parameters["application_name"])
-	if !sleep(s.life.ctx, s.db.settings.ConnectDelay) {
+	if !clock.Sleep(s.life.ctx, s.db.settings.ConnectDelay) {
 		return failf(codeShutdown, "the database is shutting down")
 	}
 	password, err := s.askPassword(parameters["user"])
--- a/internal/telemetry/writer.go
+++ b/internal/telemetry/writer.go
@@ -68,8 +68,3 @@
 		}
 	}
 }
-
-// NewRingLogger returns a logger that writes JSON lines through the ring.
-func NewRingLogger(r *LogRing, level, host string) *log.Logger {
-	return &log.Logger{Level: log.ParseLevel(level), Writer: r, Context: log.NewContext(nil).Str("host", host).Value()}
-}
