Ask for the primary again while the known one gets no new work

Cause: an entry host trusts an answer about a group's primary for 5 s unless an attempt at that primary fails. A primary that is leaving, or whose zone was taken out, is refused by the entry host itself, so no attempt fails, and a question asked just before the change left writes waiting for up to 5 s, which is their deadline.

Change: the answer about a primary out of service is asked for again every 100 ms, as for one under suspicion.

--- a/internal/server/directory.go
+++ b/internal/server/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -126,7 +127,7 @@
 		v.server, v.term, v.open = server, term, true
 		return server, term, true
 	}
-	if d.due(v) {
+	if d.due(name, v) {
 		v.asking, v.askedAt = true, time.Now()
 		go d.ask(name)
 	}
@@ -142,14 +143,32 @@
 	return v
 }
 
-func (d *directory) due(v *primaryView) bool {
+// due reports whether to ask for the primary now. A primary that gets no new
+// work is about to be replaced, but no attempt at it fails: this host refuses
+// the work itself, and nothing else would show it the new primary.
+func (d *directory) due(name string, v *primaryView) bool {
 	age := time.Since(v.askedAt)
-	if v.suspected || !v.open {
+	if v.suspected || !v.open || d.outOfService(name, v.server) {
 		return !v.asking && age >= primaryRetry
 	}
 	return !v.asking && age >= primaryMaxAge
 }
 
+// outOfService reports whether a server of the group is leaving or in a zone
+// that was taken out.
+func (d *directory) outOfService(name, server string) bool {
+	doc := d.fleet.Document()
+	if doc == nil {
+		return false
+	}
+	g, ok := doc.Group(name)
+	if !ok {
+		return false
+	}
+	i := slices.IndexFunc(g.Servers, func(s config.Server) bool { return s.Name == server })
+	return i >= 0 && (g.Servers[i].Leaving || doc.ZoneOut(g.Servers[i].Zone))
+}
+
 // Suspect notes that a home host did not accept work for the group's primary.
 func (d *directory) Suspect(name string) {
 	d.mu.Lock()
