End background reads before a database connection is taken over

Cause: pgconn starts a background read when a write takes more than 15 ms. When the process is stalled during a login, the read outlives the login and takes the first answer on the connection that the home host took over. The statement then gets "no answer" until its deadline.

Change: Hijack calls SyncConn first, as pgconn asks for.

--- a/internal/dbconn/dbconn.go
+++ b/internal/dbconn/dbconn.go
@@ -90,7 +90,15 @@
 }
 
 // Hijack hands the raw connection over. Conn must not be used afterwards.
-func (c *Conn) Hijack() (*pgconn.HijackedConn, error) { return c.pg.Hijack() }
+//
+// A write of pgconn that took long leaves a background read behind, which would
+// take the first answer on the raw connection. SyncConn ends it.
+func (c *Conn) Hijack(ctx context.Context) (*pgconn.HijackedConn, error) {
+	if err := c.pg.SyncConn(ctx); err != nil {
+		return nil, errors.Wrap(err, "end background reads")
+	}
+	return c.pg.Hijack()
+}
 
 // Close closes the connection without waiting for the backend server.
 func (c *Conn) Close() error { return c.pg.Conn().Close() }
--- a/internal/home/pool.go
+++ b/internal/home/pool.go
@@ -245,7 +245,7 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := dc.Hijack()
+	raw, err := dc.Hijack(ctx)
 	if err != nil {
 		_ = dc.Close()
 		return nil, errors.Wrap(err, "take over the connection")
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -445,7 +445,7 @@
 	t.Helper()
 	conn, err := dbconn.Dial(t.Context(), db.Address(), standinCredentials, "test")
 	assert.NilError(t, err)
-	raw, err := conn.Hijack()
+	raw, err := conn.Hijack(t.Context())
 	assert.NilError(t, err)
 	pg, err := pgconn.Construct(raw)
 	assert.NilError(t, err)
