End a connection whose probe could not be sent

Cause: a home host asks idle connections for a sign of life with a write deadline of 10 ms. A process that was stalled finds the deadline passed, writes nothing, and had already announced the answer. Besides, a probe and a statement that started together could announce and write in different orders.

Change: announcing and writing are one step under a lock, a probe looks under it whether a stream has taken the connection, and a failed one ends the connection.

--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -124,6 +124,9 @@
 	secret []byte
 	owner  owner
 
+	// writeMu serialises requests: their answers arrive in the order of the bytes.
+	writeMu sync.Mutex
+
 	mu   sync.Mutex
 	owed []answer
 	sink sink
@@ -168,6 +171,16 @@
 	c.mu.Unlock()
 }
 
+// request announces the answers, writes the bytes that cause them, and returns
+// the number of bytes that may have been sent. Both happen in one step, because
+// another request in between would take these answers for its own.
+func (c *conn) request(b []byte, deadline time.Time, answers ...answer) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	c.expect(answers...)
+	return c.writeSome(b, deadline)
+}
+
 // write sends bytes, for at most until the deadline.
 func (c *conn) write(b []byte, deadline time.Time) error {
 	_, err := c.writeSome(b, deadline)
@@ -241,8 +254,25 @@
 
 // ping asks for a sign of life.
 func (c *conn) ping(deadline time.Time) error {
-	c.expect(answer{kind: answerPing})
-	return c.write(syncBytes, deadline)
+	_, err := c.request(syncBytes, deadline, answer{kind: answerPing})
+	return err
+}
+
+// probe asks for a sign of life unless a stream uses the connection. It ends
+// the connection if the question could not be sent: its answer is announced, and
+// the next answer would be taken for it.
+func (c *conn) probe(deadline time.Time) {
+	c.writeMu.Lock()
+	idle := c.idle()
+	var err error
+	if idle {
+		c.expect(answer{kind: answerPing})
+		err = c.write(syncBytes, deadline)
+	}
+	c.writeMu.Unlock()
+	if err != nil {
+		c.end()
+	}
 }
 
 // syncBytes is the encoded Sync message.
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -212,7 +212,7 @@
 		case owes && now.Sub(since) >= silentAfter:
 			p.overdue(c)
 		case !owes && c.quietFor(now) >= pingAfter:
-			_ = c.ping(now.Add(terminateTimeout)) // a failure ends the connection
+			c.probe(now.Add(terminateTimeout))
 		}
 	}
 }
@@ -259,7 +259,7 @@
 		start, owes := c.silentSince()
 		switch {
 		case !owes && c.idle():
-			_ = c.ping(now.Add(terminateTimeout))
+			c.probe(now.Add(terminateTimeout))
 		case !owes || start.After(since):
 		case c.idle():
 			p.h.opt.Counters.Add("backend_silent_retired", 1)
--- a/internal/home/pool.go
+++ b/internal/home/pool.go
@@ -424,8 +424,7 @@
 	c.attach(nil)
 	if c.usable() {
 		c.resetFor.Store(uint64(r.id))
-		c.expect(answer{kind: answerReset})
-		if err := c.write(resetBytes, time.Now().Add(resetTimeout)); err == nil {
+		if _, err := c.request(resetBytes, time.Now().Add(resetTimeout), answer{kind: answerReset}); err == nil {
 			p.mu.Lock()
 			delete(p.runs, r.id)
 			p.mu.Unlock()
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -490,8 +490,7 @@
 // send writes to the backend server and announces the answers.
 func (r *run) send(b []byte, answers []answer) error {
 	r.dirty = true
-	r.conn.expect(answers...)
-	n, err := r.conn.writeSome(b, r.deadline)
+	n, err := r.conn.request(b, r.deadline, answers...)
 	r.sent = r.sent || (n > 0 && r.front.started)
 	if err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.ConnectionLost, "%v", err)
