End the busy loop of sessions whose transaction passed its idle limit

Cause: the wake-up for the idle limit stayed set after it had passed, so that every wait for the next statement ended at once.

Change: the next wake-up is set anew after each one.

--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,8 @@
 	refused *verdict.Error
 	wake    time.Time
 	poke    chan struct{}
+	// waits counts the waits for a statement.
+	waits atomic.Int64
 	// opened is closed once the session is accepted or refused.
 	opened chan struct{}
 }
@@ -42,6 +45,7 @@
 func (c *caller) Start() (statement.Start, error) { return c.start, nil }
 
 func (c *caller) Next() (statement.Statement, error) {
+	c.waits.Add(1)
 	var wake <-chan time.Time
 	if !c.wake.IsZero() {
 		wake = time.After(time.Until(c.wake))
@@ -356,6 +360,19 @@
 	wantErr(t, c.do(statement.Commit, "COMMIT"), verdict.NotRun, verdict.TransactionAborted)
 }
 
+// Guards against a session that waits in a busy loop after its idle limit has
+// passed. Callers that rest inside transactions used up the processor of every
+// host of their zone that way.
+func TestRestingTransactionTakesNoProcessorTime(t *testing.T) {
+	x := newFixture(t)
+	c := x.open("current")
+	c.do(statement.Begin, "BEGIN")
+	c.do(statement.Write, "WRITE a b")
+	time.Sleep(200 * time.Millisecond)
+	// Two statements, the end of the transaction, and what follows it.
+	assert.Assert(t, c.waits.Load() <= 6, "%d waits", c.waits.Load())
+}
+
 // Guards against work for a key that was withdrawn, or that may have been, and
 // against telling a caller that its key or route is unknown when only the own
 // knowledge is old.
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -179,16 +179,29 @@
 		s.f.opt.Counters.Add("sessions_aborted_by_stop", 1)
 		return false
 	}
-	if s.tx != nil && !s.tx.failed && s.idleLimitReached() {
+	if s.tx != nil && !s.tx.failed && s.idleLeft() <= 0 {
 		s.f.opt.Counters.Refused(verdict.IdleTransactionTime)
 		s.f.opt.Log.Info().Str("id", s.tx.begin.ID).Str("customer", s.customer).Msg("idle transaction ended")
 		s.failTransaction()
 	}
+	s.scheduleWake()
 	return true
 }
 
-func (s *session) idleLimitReached() bool {
-	return s.f.opt.Clock() >= s.tx.used+s.f.opt.Snapshot().IdleLimit()
+// idleLeft is the time that the open transaction may still rest.
+func (s *session) idleLeft() time.Duration {
+	return s.tx.used + s.f.opt.Snapshot().IdleLimit() - s.f.opt.Clock()
+}
+
+// scheduleWake sets the next wake-up: the idle limit of an open transaction,
+// else none. A wake-up that has passed must not stay set, because every wait
+// for a statement would end at once.
+func (s *session) scheduleWake() {
+	if s.tx == nil || s.tx.failed {
+		s.client.WakeAt(time.Time{})
+		return
+	}
+	s.client.WakeAt(time.Now().Add(s.idleLeft()))
 }
 
 // handle answers one statement. It reports whether the session goes on.
@@ -203,11 +216,11 @@
 	if err := s.client.Answer(r); err != nil || final {
 		return false
 	}
-	if s.tx != nil && !s.tx.failed {
+	if s.tx != nil {
 		// The limit counts from the last answer.
 		s.tx.used = s.f.opt.Clock()
-		s.client.WakeAt(time.Now().Add(s.f.opt.Snapshot().IdleLimit()))
 	}
+	s.scheduleWake()
 	return true
 }
 
