--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,7 +9,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/customer"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // Configuration is a decoded version of the operator's configuration.
@@ -160,7 +160,7 @@
 // ConfigurationRows takes changes of the configuration space in. Full says that
 // the rows are all there are. A version that is not newer than the one in force
 // is ignored, so that the configuration never reverts.
-func (c *Catalog) ConfigurationRows(rows []platform.Change, full bool) {
+func (c *Catalog) ConfigurationRows(rows []store.Change, full bool) {
 	if full {
 		clear(c.zonesOut)
 	}
@@ -190,7 +190,7 @@
 
 // RegistryRows takes changes of the registry in. An entry that cannot be decoded
 // names no server to use.
-func (c *Catalog) RegistryRows(now time.Duration, rows []platform.Change, full bool) {
+func (c *Catalog) RegistryRows(now time.Duration, rows []store.Change, full bool) {
 	if full {
 		for name := range c.servers {
 			c.miss(now, name)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/customer"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // fakeSources decodes "version key" as a configuration with one customer, and
@@ -47,8 +47,8 @@
 	return Server{Group: group, Server: config.Server{Name: strings.TrimPrefix(key, "reg/"), Zone: zone}}, nil
 }
 
-func row(key, value string) platform.Change {
-	return platform.Change{Row: platform.Row{Key: key, Value: []byte(value)}}
+func row(key, value string) store.Change {
+	return store.Change{Row: store.Row{Key: key, Value: []byte(value)}}
 }
 
 func newCatalog() *Catalog {
@@ -59,9 +59,9 @@
 // again from a store that shows an older state.
 func TestVersionsNeverFall(t *testing.T) {
 	c := newCatalog()
-	c.ConfigurationRows([]platform.Change{row("conf/current", "7 new")}, true)
-	c.ConfigurationRows([]platform.Change{row("conf/current", "5 old")}, true)
-	c.ConfigurationRows([]platform.Change{row("conf/current", "x")}, false)
+	c.ConfigurationRows([]store.Change{row("conf/current", "7 new")}, true)
+	c.ConfigurationRows([]store.Change{row("conf/current", "5 old")}, true)
+	c.ConfigurationRows([]store.Change{row("conf/current", "x")}, false)
 	s := c.Snapshot()
 	assert.Equal(t, s.Version(), config.Version(7))
 	_, ok := s.CustomerOf("new")
@@ -75,14 +75,14 @@
 // stays out after the operator has taken it back.
 func TestZonesOut(t *testing.T) {
 	c := newCatalog()
-	c.ConfigurationRows([]platform.Change{row("conf/current", "1 k"), row("conf/out/z1", "{}")}, true)
-	c.RegistryRows(0, []platform.Change{row("reg/a", "g z1"), row("reg/b", "g z2")}, true)
+	c.ConfigurationRows([]store.Change{row("conf/current", "1 k"), row("conf/out/z1", "{}")}, true)
+	c.RegistryRows(0, []store.Change{row("reg/a", "g z1"), row("reg/b", "g z2")}, true)
 	s := c.Snapshot()
 	a, _ := s.Server("a")
 	b, _ := s.Server("b")
 	assert.Assert(t, !a.Usable(s.ZonesOut) && b.Usable(s.ZonesOut))
 	assert.Equal(t, a.Connections, 30)
-	c.ConfigurationRows([]platform.Change{{Row: platform.Row{Key: "conf/out/z1"}, Removed: true}}, false)
+	c.ConfigurationRows([]store.Change{{Row: store.Row{Key: "conf/out/z1"}, Removed: true}}, false)
 	s = c.Snapshot()
 	assert.Assert(t, a.Usable(s.ZonesOut))
 }
@@ -91,19 +91,19 @@
 // that are used, and gone servers that stay.
 func TestRegistry(t *testing.T) {
 	c := newCatalog()
-	c.ConfigurationRows([]platform.Change{row("conf/current", "1 k")}, true)
-	c.RegistryRows(0, []platform.Change{row("reg/a", "g z1"), row("reg/b", "g z2"), row("reg/c", "malformed"), row("reg/d", "unknown z1")}, true)
+	c.ConfigurationRows([]store.Change{row("conf/current", "1 k")}, true)
+	c.RegistryRows(0, []store.Change{row("reg/a", "g z1"), row("reg/b", "g z2"), row("reg/c", "malformed"), row("reg/d", "unknown z1")}, true)
 	assert.Equal(t, len(c.Snapshot().Group("g")), 2)
-	gone := []platform.Change{{Row: platform.Row{Key: "reg/a"}, Removed: true}, {Row: platform.Row{Key: "reg/b"}, Removed: true}}
+	gone := []store.Change{{Row: store.Row{Key: "reg/a"}, Removed: true}, {Row: store.Row{Key: "reg/b"}, Removed: true}}
 	c.RegistryRows(time.Second, gone, false)
 	assert.Assert(t, !c.Expire(2*time.Second))
-	c.RegistryRows(2*time.Second, []platform.Change{row("reg/a", "g z1")}, false)
+	c.RegistryRows(2*time.Second, []store.Change{row("reg/a", "g z1")}, false)
 	assert.Assert(t, c.Expire(time.Second+missingGrace))
 	_, a := c.Snapshot().Server("a")
 	_, b := c.Snapshot().Server("b")
 	assert.Assert(t, a && !b)
 	// An entry that becomes malformed names no server.
-	c.RegistryRows(9*time.Second, []platform.Change{row("reg/a", "malformed")}, false)
+	c.RegistryRows(9*time.Second, []store.Change{row("reg/a", "malformed")}, false)
 	assert.Equal(t, len(c.Snapshot().Group("g")), 0)
 }
 
@@ -111,7 +111,7 @@
 // and against more than the limit of a window.
 func TestLimitsHoldOverWindows(t *testing.T) {
 	c := newCatalog()
-	c.ConfigurationRows([]platform.Change{row("conf/current", "1 k")}, true)
+	c.ConfigurationRows([]store.Change{row("conf/current", "1 k")}, true)
 	l, ok := c.Snapshot().Document.Limit("c")
 	assert.Assert(t, ok)
 	const window, total = 5.0, 20*5.0 + 20
--- a/internal/catalog/shell.go
+++ b/internal/catalog/shell.go
@@ -12,7 +12,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/customer"
 	"github.com/cranberryhinge/cranberryhinge/internal/guard"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 )
 
@@ -39,7 +39,7 @@
 	Zones   []string
 	// Window is the window in which the limits of the configuration hold.
 	Window   customer.Window
-	Watcher  platform.Watcher
+	Watcher  store.Watcher
 	KeyGrace time.Duration
 	Clock    clock.Clock
 	Log      *log.Logger
@@ -55,7 +55,7 @@
 	version config.Version
 	zones   int
 
-	configurations, servers *platform.Follower
+	configurations, servers *store.Follower
 
 	snapshot atomic.Pointer[Snapshot]
 	// confirmed is the time of the last confirmation of the configuration, 0
@@ -67,8 +67,8 @@
 func NewShell(opt Options) *Shell {
 	s := &Shell{opt: opt, catalog: New(opt.Sources, opt.Zones, opt.Window)}
 	s.snapshot.Store(s.catalog.Snapshot())
-	follower := func(space string, age time.Duration, apply func([]platform.Change, bool, time.Duration)) *platform.Follower {
-		return &platform.Follower{
+	follower := func(space string, age time.Duration, apply func([]store.Change, bool, time.Duration)) *store.Follower {
+		return &store.Follower{
 			Watcher: opt.Watcher, Space: space, Wait: pollWait, MaxAge: age, Clock: opt.Clock,
 			Log: opt.Log, Counters: opt.Counters, Apply: apply,
 		}
@@ -79,8 +79,8 @@
 }
 
 // Followers returns what follows the spaces, for the exchange with peers.
-func (s *Shell) Followers() []*platform.Follower {
-	return []*platform.Follower{s.configurations, s.servers}
+func (s *Shell) Followers() []*store.Follower {
+	return []*store.Follower{s.configurations, s.servers}
 }
 
 // Snapshot returns the present view.
@@ -115,7 +115,7 @@
 	wg.Wait()
 }
 
-func (s *Shell) configuration(rows []platform.Change, full bool, confirmed time.Duration) {
+func (s *Shell) configuration(rows []store.Change, full bool, confirmed time.Duration) {
 	if len(rows) > 0 || full {
 		s.mu.Lock()
 		s.catalog.ConfigurationRows(rows, full)
@@ -125,7 +125,7 @@
 	s.confirmed.Store(int64(confirmed))
 }
 
-func (s *Shell) registry(rows []platform.Change, full bool, _ time.Duration) {
+func (s *Shell) registry(rows []store.Change, full bool, _ time.Duration) {
 	if len(rows) == 0 && !full {
 		return
 	}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -8,9 +8,9 @@
 	"github.com/peterbourgon/ff/v4"
 	"github.com/pkg/errors"
 
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
 	"github.com/cranberryhinge/cranberryhinge/internal/server"
 	"github.com/cranberryhinge/cranberryhinge/internal/standin"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 func (a *app) serveCommand() *ff.Command {
@@ -88,13 +88,13 @@
 		ShortHelp: "run the stand-in of the platform's table service, object store and host list",
 		Flags:     flags,
 		Exec: func(ctx context.Context, _ []string) error {
-			var s platform.FakeSettings
+			var s store.FakeSettings
 			if *settings != "" {
 				data, err := os.ReadFile(*settings)
 				if err != nil {
 					return errors.Wrap(err, "read settings")
 				}
-				if s, err = platform.ParseFakeSettings(data); err != nil {
+				if s, err = store.ParseFakeSettings(data); err != nil {
 					return err
 				}
 			}
@@ -102,7 +102,7 @@
 			if err != nil {
 				return errors.Wrap(err, "listen")
 			}
-			return platform.Serve(ctx, listener, platform.NewFake(s))
+			return store.Serve(ctx, listener, store.NewFake(s))
 		},
 	}
 }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -17,9 +17,9 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/faultnet"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
 	"github.com/cranberryhinge/cranberryhinge/internal/server"
 	"github.com/cranberryhinge/cranberryhinge/internal/standin"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // Credentials of the hosts towards the stand-in databases.
@@ -39,7 +39,7 @@
 	// Database is the template of the stand-in databases.
 	Database standin.DatabaseSettings
 	// Platform describes the platform fake.
-	Platform platform.FakeSettings
+	Platform store.FakeSettings
 	// LogWriter receives the logs of all hosts; default is to discard them.
 	LogWriter io.Writer
 	LogLevel  string
@@ -55,7 +55,7 @@
 
 // Cluster is a running deployment.
 type Cluster struct {
-	Platform  *platform.Fake
+	Platform  *store.Fake
 	Databases map[string]*standin.Database
 	Hosts     map[string]*Host
 	Network   *Network
@@ -85,7 +85,7 @@
 		return nil, err
 	}
 	c := &Cluster{
-		Platform: platform.NewFake(settings.Platform), Databases: map[string]*standin.Database{}, Hosts: map[string]*Host{},
+		Platform: store.NewFake(settings.Platform), Databases: map[string]*standin.Database{}, Hosts: map[string]*Host{},
 		Network: newNetwork(settings.Latency), settings: settings, cert: cert, pool: peer.NewPool(nil, nil),
 	}
 	c.Network.counting = settings.CountBytes
@@ -213,9 +213,9 @@
 }
 
 func (c *Cluster) listHosts() {
-	var list []platform.ListedHost
+	var list []store.ListedHost
 	for _, h := range c.Hosts {
-		list = append(list, platform.ListedHost{Name: h.Name, Address: h.Server.PeerAddress(), Zone: h.Zone})
+		list = append(list, store.ListedHost{Name: h.Name, Address: h.Server.PeerAddress(), Zone: h.Zone})
 	}
 	c.Platform.SetHosts(list...)
 }
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -14,8 +14,8 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/customer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
@@ -177,7 +177,7 @@
 func newColdFixture(t *testing.T, cold time.Duration) *fixture {
 	f := &fixture{t: t, srv: &server{}, auth: &authority{leads: true}}
 	c := catalog.New(oneServer{cold: cold}, []string{"z"}, customer.Window{})
-	change := func(key string) []platform.Change { return []platform.Change{{Row: platform.Row{Key: key}}} }
+	change := func(key string) []store.Change { return []store.Change{{Row: store.Row{Key: key}}} }
 	c.ConfigurationRows(change("conf/x"), true)
 	c.RegistryRows(0, change("reg/db"), true)
 	snapshot := c.Snapshot()
--- a/internal/fleet/configuration.go
+++ b/internal/fleet/configuration.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // configState is the configuration in force and the age of its knowledge.
@@ -72,7 +72,7 @@
 }
 
 // pointerSeen takes the pointer row of a read over that was sent at the time.
-func (f *Fleet) pointerSeen(now, sent time.Duration, row platform.Row) {
+func (f *Fleet) pointerSeen(now, sent time.Duration, row store.Row) {
 	f.conf.informed = true
 	p := decodeRow[pointerRow](row)
 	if p.Version == 0 {
@@ -294,7 +294,7 @@
 	doc    *config.Document
 	data   []byte
 	state  publishState
-	expect platform.Revision
+	expect store.Revision
 	next   pointerRow
 	swapAt time.Duration
 	// electorates are the inventories of which a majority must know the version.
@@ -402,7 +402,7 @@
 }
 
 // publishPrepares compares the base version with the pointer.
-func (f *Fleet) publishPrepares(row platform.Row) {
+func (f *Fleet) publishPrepares(row store.Row) {
 	p := f.publish
 	cur := decodeRow[pointerRow](row)
 	if cur.Version != p.base && !f.guards.noBaseCheck {
@@ -419,7 +419,7 @@
 }
 
 // publishSettled compares the pointer with what was written.
-func (f *Fleet) publishSettled(now time.Duration, row platform.Row) {
+func (f *Fleet) publishSettled(now time.Duration, row store.Row) {
 	p := f.publish
 	cur := decodeRow[pointerRow](row)
 	switch {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // Settings describe the process to New.
@@ -76,7 +76,7 @@
 
 // scan is the state of an incremental read of rows with one prefix.
 type scan struct {
-	after platform.Revision
+	after store.Revision
 	// sent is when the newest completed scan was sent.
 	sent time.Duration
 	done bool
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // lease is the own host lease. The row is renewed by compare-and-swap; the
@@ -21,7 +21,7 @@
 	everHeld bool
 	giveUp   bool // the lease is to be ended in the store
 	givenUp  bool
-	revision platform.Revision
+	revision store.Revision
 	read     bool // revision is the row's, as far as known
 	counter  uint64
 	written  hostRow // last write sent
@@ -142,7 +142,7 @@
 // name.
 func (f *Fleet) ownRowRead(now time.Duration, in StoreDone) {
 	l := &f.lease
-	var row platform.Row
+	var row store.Row
 	if len(in.Rows) > 0 {
 		row = in.Rows[0]
 	}
@@ -191,7 +191,7 @@
 	}
 }
 
-func (f *Fleet) hostRowSeen(now time.Duration, r platform.Row) {
+func (f *Fleet) hostRowSeen(now time.Duration, r store.Row) {
 	name := r.Key[len(hostPrefix):]
 	row := decodeRow[hostRow](r)
 	if name != f.self.Name && row.TTLMillis > 0 {
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // Identity names one incarnation of a host.
@@ -88,8 +88,8 @@
 	StoreDone struct {
 		Call     uint64
 		Outcome  Outcome
-		Rows     []platform.Row
-		Revision platform.Revision
+		Rows     []store.Row
+		Revision store.Revision
 		Data     []byte
 		// Document is the decoded object; nil when it is not valid.
 		Document *config.Document
@@ -114,7 +114,7 @@
 		Refused bool
 	}
 	// HostsListed reports the platform's host list.
-	HostsListed struct{ Hosts []platform.ListedHost }
+	HostsListed struct{ Hosts []store.ListedHost }
 	// Publish asks to publish a document edited from version Base.
 	Publish struct {
 		ID       uint64
@@ -155,8 +155,8 @@
 		Duty   Duty
 		Op     Op
 		Key    string
-		After  platform.Revision
-		Expect platform.Revision
+		After  store.Revision
+		Expect store.Revision
 		Value  []byte
 		// Releases is the role that the call hands over, if any. Its open work
 		// has to end before the call, because the new holder cuts it off.
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -11,7 +11,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // RateShards is the number of minter roles per zone.
@@ -32,7 +32,7 @@
 	wanted bool // the document in force has the role
 
 	row      roleRow
-	revision platform.Revision
+	revision store.Revision
 	fromRead bool // the row was read from the store by this host
 	// freeSince is when the role was first found to be claimable; it holds
 	// while free is set.
@@ -65,7 +65,7 @@
 type roleWrite struct {
 	role    *role
 	row     roleRow
-	expect  platform.Revision
+	expect  store.Revision
 	reading bool
 	// again is set when a read shows that the write has had no effect so far.
 	again bool
@@ -139,7 +139,7 @@
 
 // roleSeen takes a newer row over. A row that a peer relayed serves to find the
 // holder and never makes this host the holder.
-func (f *Fleet) roleSeen(name string, rev platform.Revision, row roleRow, read bool) {
+func (f *Fleet) roleSeen(name string, rev store.Revision, row roleRow, read bool) {
 	r := f.roles.get(name)
 	if rev < r.revision || rev == r.revision && (r.fromRead || !read) {
 		return
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // Key prefixes and keys of the table service.
@@ -56,7 +56,7 @@
 
 // decodeRow returns the zero value for a row that does not exist or is not
 // readable.
-func decodeRow[T any](r platform.Row) (v T) {
+func decodeRow[T any](r store.Row) (v T) {
 	if r.Revision != 0 {
 		_ = json.Unmarshal(r.Value, &v)
 	}
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // sim runs several aggregates against a modelled table service and network. All
@@ -24,8 +24,8 @@
 	seq    int
 
 	hosts []*simHost
-	rows  map[string]platform.Row
-	rev   platform.Revision
+	rows  map[string]store.Row
+	rev   store.Revision
 	objs  map[string][]byte
 	docs  map[string]*config.Document // by data
 
@@ -90,7 +90,7 @@
 
 func newSim(seed uint64, zones, hosts int, g guards) *sim {
 	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 1)), rows: map[string]platform.Row{}, objs: map[string][]byte{},
+		rng: rand.New(rand.NewPCG(seed, 1)), rows: map[string]store.Row{}, objs: map[string][]byte{},
 		docs: map[string]*config.Document{}, cut: map[[2]string]bool{}, latency: 4 * time.Millisecond,
 		tickEvery: 50 * time.Millisecond, guards: g,
 	}
@@ -118,9 +118,9 @@
 	s.oracle.booted(h)
 	gen := h.gen
 	s.after(0, func() {
-		var list []platform.ListedHost
+		var list []store.ListedHost
 		for _, p := range s.hosts {
-			list = append(list, platform.ListedHost{Name: p.name, Address: "addr-" + p.name, Zone: p.zone})
+			list = append(list, store.ListedHost{Name: p.name, Address: "addr-" + p.name, Zone: p.zone})
 		}
 		s.deliver(h, gen, func() { s.input(h, HostsListed{list}) })
 	})
@@ -228,16 +228,16 @@
 	switch c.Op {
 	case OpGet:
 		s.reads++
-		return StoreDone{Outcome: OK, Rows: []platform.Row{row}}
+		return StoreDone{Outcome: OK, Rows: []store.Row{row}}
 	case OpScan:
 		s.reads++
-		var out []platform.Row
+		var out []store.Row
 		for k, r := range s.rows {
 			if strings.HasPrefix(k, c.Key) && r.Revision > c.After {
 				out = append(out, r)
 			}
 		}
-		slices.SortFunc(out, func(a, b platform.Row) int { return int(a.Revision) - int(b.Revision) })
+		slices.SortFunc(out, func(a, b store.Row) int { return int(a.Revision) - int(b.Revision) })
 		s.rowsRead += len(out)
 		return StoreDone{Outcome: OK, Rows: out}
 	case OpCompareAndSwap:
@@ -246,7 +246,7 @@
 			return StoreDone{Outcome: Conflict}
 		}
 		s.rev++
-		s.rows[c.Key] = platform.Row{Key: c.Key, Value: c.Value, Revision: s.rev}
+		s.rows[c.Key] = store.Row{Key: c.Key, Value: c.Value, Revision: s.rev}
 		if c.Key == pointerKey {
 			s.oracle.pointers = append(s.oracle.pointers, decodeRow[pointerRow](s.rows[c.Key]))
 		}
--- a/internal/fleet/vector.go
+++ b/internal/fleet/vector.go
@@ -8,7 +8,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // A heartbeat exchange is a pull. The request carries the sender's own
@@ -460,7 +460,7 @@
 }
 
 func (f *Fleet) roleHeard(r *peerpb.RoleRow) {
-	f.roleSeen(r.GetRole(), platform.Revision(r.GetRevision()), roleRow{
+	f.roleSeen(r.GetRole(), store.Revision(r.GetRevision()), roleRow{
 		Holder: r.GetHolder(), Incarnation: r.GetIncarnation(), Epoch: r.GetEpoch(),
 	}, false)
 }
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -16,9 +16,9 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/customer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
@@ -207,7 +207,7 @@
 func (x *fixture) configure(value string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.catalog.ConfigurationRows([]platform.Change{{Row: platform.Row{Key: "conf/x", Value: []byte(value)}}}, true)
+	x.catalog.ConfigurationRows([]store.Change{{Row: store.Row{Key: "conf/x", Value: []byte(value)}}}, true)
 	x.snap = x.catalog.Snapshot()
 }
 
--- a/internal/group/machine.go
+++ b/internal/group/machine.go
@@ -8,7 +8,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // Options are the fixed settings of a Machine.
@@ -49,7 +49,7 @@
 // swap is the compare-and-swap in flight.
 type swap struct {
 	kind   swapKind
-	expect platform.Revision
+	expect store.Revision
 	row    Row
 	epoch  uint64
 	live   bool
@@ -75,7 +75,7 @@
 	servers    []Server
 
 	row      Row
-	revision platform.Revision
+	revision store.Revision
 	rowKnown bool
 	// rowSince is when the current revision became known here.
 	rowSince time.Duration
@@ -269,7 +269,7 @@
 }
 
 // setRow takes over a row that is newer than the known one.
-func (m *Machine) setRow(r Row, rev platform.Revision) {
+func (m *Machine) setRow(r Row, rev store.Revision) {
 	if m.rowKnown && rev <= m.revision {
 		return
 	}
@@ -358,7 +358,7 @@
 	}
 }
 
-func (m *Machine) swapped(s *swap, rev platform.Revision) {
+func (m *Machine) swapped(s *swap, rev store.Revision) {
 	m.setRow(s.row, rev)
 	if m.revision != rev {
 		return // a newer row is known already
--- a/internal/group/sim_test.go
+++ b/internal/group/sim_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // The simulation drives several machines against modelled databases, a table
@@ -132,7 +132,7 @@
 	slow      int
 	out       [simMax]bool
 
-	groupRow platform.Row
+	groupRow store.Row
 	leases   map[int]leaseRow
 	homes    [simMax]int
 	// onCount runs when a host's machine emits a counter.
@@ -563,7 +563,7 @@
 			s.crash(h, s.between(time.Second, 6*time.Second))
 		}
 	case ReadRow:
-		var row platform.Row
+		var row store.Row
 		s.callStore(h, func() { row = s.groupRow }, func(ok bool) {
 			answer := RowAnswer{ID: v.ID, Revision: row.Revision, Err: answerErr(ok)}
 			if ok && row.Revision > 0 {
@@ -576,7 +576,7 @@
 		s.callStore(h, func() {
 			if s.groupRow.Revision == v.Expect {
 				value, _ := v.Row.Encode()
-				s.groupRow = platform.Row{Value: value, Revision: v.Expect + 1}
+				s.groupRow = store.Row{Value: value, Revision: v.Expect + 1}
 				answer.Outcome, answer.Revision = Swapped, v.Expect+1
 			}
 		}, func(ok bool) {
--- a/internal/group/types.go
+++ b/internal/group/types.go
@@ -5,7 +5,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // Host identifies one process of one host.
@@ -98,13 +98,13 @@
 	RowAnswer struct {
 		ID       uint64
 		Row      Row
-		Revision platform.Revision
+		Revision store.Revision
 		Err      error
 	}
 	// SwapAnswer answers Swap.
 	SwapAnswer struct {
 		Writer   string
-		Revision platform.Revision
+		Revision store.Revision
 		Outcome  Outcome
 	}
 	// StatusAnswer answers Poll.
@@ -176,7 +176,7 @@
 	ReadRow struct{ ID uint64 }
 	// Swap writes the group's row by compare-and-swap.
 	Swap struct {
-		Expect platform.Revision
+		Expect store.Revision
 		Row    Row
 	}
 	// Poll asks a database for its status.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -28,8 +28,8 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/ownership"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 )
 
@@ -63,8 +63,8 @@
 
 // Adapters are what a platform provides.
 type Adapters struct {
-	Table     platform.TableService
-	Watcher   platform.Watcher
+	Table     store.TableService
+	Watcher   store.Watcher
 	Sources   catalog.Sources
 	Dialer    statement.Dialer
 	NewClient func(net.Conn) statement.Client
@@ -163,7 +163,7 @@
 	h.calls = &calls{
 		directory: h.directory, pool: peer.NewPool(nil, nil), executor: h.executor, failover: h.failover, counters: h.counters,
 		workers:  pond.NewPool(pulseWorkers, pond.WithQueueSize(pulseWorkers), pond.WithNonBlocking(true)),
-		suspects: map[string]bool{}, followers: map[string]*platform.Follower{},
+		suspects: map[string]bool{}, followers: map[string]*store.Follower{},
 	}
 	for _, f := range append(h.catalog.Followers(), h.owners.Follower()) {
 		h.calls.followers[f.Space] = f
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -18,9 +18,9 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/ownership"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
@@ -57,7 +57,7 @@
 	frontend  *frontend.Frontend
 	counters  *telemetry.Counters
 	workers   pond.Pool
-	followers map[string]*platform.Follower
+	followers map[string]*store.Follower
 
 	links links
 
@@ -226,8 +226,8 @@
 	}
 	for _, k := range resp.GetSpaces() {
 		if f, ok := c.followers[k.GetSpace()]; ok {
-			f.PeerKnows(sent, platform.Knowledge{
-				Digest: k.GetDigest(), Revision: platform.Revision(k.GetRevision()), Age: time.Duration(k.GetAgeUs()) * time.Microsecond,
+			f.PeerKnows(sent, store.Knowledge{
+				Digest: k.GetDigest(), Revision: store.Revision(k.GetRevision()), Age: time.Duration(k.GetAgeUs()) * time.Microsecond,
 			})
 		}
 	}
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -14,7 +14,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/fleet"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // newWriter returns an id that is unique to this process.
@@ -64,9 +64,9 @@
 	counter := "fleet_store_reads"
 	switch c.Op {
 	case fleet.OpGet:
-		var row platform.Row
+		var row store.Row
 		row, err = m.opt.Table.Get(ctx, c.Key)
-		out.Rows = []platform.Row{row}
+		out.Rows = []store.Row{row}
 	case fleet.OpScan:
 		out.Rows, err = m.opt.Table.Scan(ctx, c.Key, c.After)
 	case fleet.OpCompareAndSwap:
@@ -97,7 +97,7 @@
 	switch {
 	case err == nil:
 		return fleet.OK
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
 		return fleet.Conflict
 	default:
 		return fleet.Unknown
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -12,7 +12,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/fleet"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 )
 
@@ -71,9 +71,9 @@
 	// Self is the identity of this process. An incarnation of 0 is replaced by
 	// the wall clock in microseconds.
 	Self    Identity
-	Table   platform.TableService
-	Objects platform.ObjectStore
-	Hosts   platform.HostList
+	Table   store.TableService
+	Objects store.ObjectStore
+	Hosts   store.HostList
 	Peers   Peers
 	// Decode reads and validates a document.
 	Decode func(data []byte) (*config.Document, error)
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -16,18 +16,18 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // world is a table service, an object store, a host list and a network.
 type world struct {
 	mu      sync.Mutex
 	down    atomic.Bool
-	rows    map[string]platform.Row
-	rev     platform.Revision
+	rows    map[string]store.Row
+	rev     store.Revision
 	objects map[string][]byte
 	members map[string]*Member
-	list    []platform.ListedHost
+	list    []store.ListedHost
 }
 
 var errDown = errors.New("down")
@@ -40,15 +40,15 @@
 	return nil
 }
 
-func (w *world) Get(_ context.Context, key string) (platform.Row, error) {
+func (w *world) Get(_ context.Context, key string) (store.Row, error) {
 	if err := w.enter(); err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	defer w.mu.Unlock()
 	return w.rows[key], nil
 }
 
-func (w *world) Scan(_ context.Context, prefix string, after platform.Revision) (out []platform.Row, err error) {
+func (w *world) Scan(_ context.Context, prefix string, after store.Revision) (out []store.Row, err error) {
 	if err := w.enter(); err != nil {
 		return nil, err
 	}
@@ -61,20 +61,20 @@
 	return out, nil
 }
 
-func (w *world) CompareAndSwap(_ context.Context, key string, expect platform.Revision, value []byte) (platform.Revision, error) {
+func (w *world) CompareAndSwap(_ context.Context, key string, expect store.Revision, value []byte) (store.Revision, error) {
 	if err := w.enter(); err != nil {
 		return 0, err
 	}
 	defer w.mu.Unlock()
 	if w.rows[key].Revision != expect {
-		return 0, platform.ErrConflict
+		return 0, store.ErrConflict
 	}
 	w.rev++
-	w.rows[key] = platform.Row{Key: key, Value: value, Revision: w.rev}
+	w.rows[key] = store.Row{Key: key, Value: value, Revision: w.rev}
 	return w.rev, nil
 }
 
-func (w *world) Delete(context.Context, string, platform.Revision) error { return errDown }
+func (w *world) Delete(context.Context, string, store.Revision) error { return errDown }
 
 type objects struct{ *world }
 
@@ -95,7 +95,7 @@
 	return o.objects[key], nil
 }
 
-func (w *world) Hosts(context.Context) ([]platform.ListedHost, error) { return w.list, nil }
+func (w *world) Hosts(context.Context) ([]store.ListedHost, error) { return w.list, nil }
 
 func (w *world) member(address string) *Member {
 	w.mu.Lock()
@@ -170,11 +170,11 @@
 // Members must start while the platform is down, form a fleet when it returns,
 // publish, keep their roles in an outage, and hand them over at a planned stop.
 func TestMembers(t *testing.T) {
-	w := &world{rows: map[string]platform.Row{}, objects: map[string][]byte{}, members: map[string]*Member{}}
+	w := &world{rows: map[string]store.Row{}, objects: map[string][]byte{}, members: map[string]*Member{}}
 	w.down.Store(true)
 	for i := range 3 {
 		h := fmt.Sprintf("h%d", i)
-		w.list = append(w.list, platform.ListedHost{Name: h, Address: h, Zone: fmt.Sprintf("z%d", i%2)})
+		w.list = append(w.list, store.ListedHost{Name: h, Address: h, Zone: fmt.Sprintf("z%d", i%2)})
 	}
 	var ms []*Member
 	var stops []func() error
@@ -238,7 +238,7 @@
 
 // A second process under the same name must replace the first.
 func TestReplaced(t *testing.T) {
-	w := &world{rows: map[string]platform.Row{}, objects: map[string][]byte{}, members: map[string]*Member{}}
+	w := &world{rows: map[string]store.Row{}, objects: map[string][]byte{}, members: map[string]*Member{}}
 	a, _ := start(t, w, 0)
 	wait(t, "lease", func() bool { return time.Now().Before(a.LeaseUntil()) })
 	time.Sleep(time.Millisecond)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -13,7 +13,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
 	"github.com/cranberryhinge/cranberryhinge/internal/group"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
@@ -55,7 +55,7 @@
 // Options name what an Owner needs.
 type Options struct {
 	Fleet       Fleet
-	Table       platform.TableService
+	Table       store.TableService
 	Peers       Peers
 	Credentials dbconn.Credentials
 	Counters    *telemetry.Counters
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -17,8 +17,8 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
 	"github.com/cranberryhinge/cranberryhinge/internal/group"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
 	"github.com/cranberryhinge/cranberryhinge/internal/standin"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
@@ -26,7 +26,7 @@
 // world is a group of three databases with one home host each.
 type world struct {
 	mu     sync.Mutex
-	rows   map[string]platform.Row
+	rows   map[string]store.Row
 	out    bool // the store is down
 	lose   int  // number of next answers of writes that are lost
 	dbs    map[string]*fakeDB
@@ -68,7 +68,7 @@
 
 // newWorld runs three owners, on fake databases unless others are given.
 func newWorld(t *testing.T, dbs ...*standin.Database) *world {
-	w := &world{rows: map[string]platform.Row{}, dbs: map[string]*fakeDB{}, hosts: map[string]*host{}, polled: map[string]int{}}
+	w := &world{rows: map[string]store.Row{}, dbs: map[string]*fakeDB{}, hosts: map[string]*host{}, polled: map[string]int{}}
 	g := config.Group{Name: "g", Durability: config.DurabilityReplicated}
 	for _, n := range names {
 		w.dbs[n] = &fakeDB{status: dbconn.Status{Server: n, Term: 1, Role: dbconn.Replica, Position: 10}, open: map[string]int{}}
@@ -202,29 +202,29 @@
 
 var errOutage = errors.New("store is down")
 
-func (w *world) Get(_ context.Context, key string) (platform.Row, error) {
+func (w *world) Get(_ context.Context, key string) (store.Row, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.out {
-		return platform.Row{}, errOutage
+		return store.Row{}, errOutage
 	}
 	return w.rows[key], nil
 }
 
-func (w *world) Scan(context.Context, string, platform.Revision) ([]platform.Row, error) {
+func (w *world) Scan(context.Context, string, store.Revision) ([]store.Row, error) {
 	return nil, errOutage
 }
 
-func (w *world) CompareAndSwap(_ context.Context, key string, expect platform.Revision, value []byte) (platform.Revision, error) {
+func (w *world) CompareAndSwap(_ context.Context, key string, expect store.Revision, value []byte) (store.Revision, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.out {
 		return 0, errOutage
 	}
 	if w.rows[key].Revision != expect {
-		return 0, platform.ErrConflict
+		return 0, store.ErrConflict
 	}
-	w.rows[key] = platform.Row{Key: key, Value: slices.Clone(value), Revision: expect + 1}
+	w.rows[key] = store.Row{Key: key, Value: slices.Clone(value), Revision: expect + 1}
 	if w.lose > 0 {
 		w.lose--
 		return 0, errors.New("answer lost")
@@ -232,7 +232,7 @@
 	return expect + 1, nil
 }
 
-func (w *world) Delete(context.Context, string, platform.Revision) error { return errOutage }
+func (w *world) Delete(context.Context, string, store.Revision) error { return errOutage }
 
 // Databases.
 
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -12,7 +12,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/group"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 const (
@@ -421,7 +421,7 @@
 // return all at once when the store does.
 func (r *runner) pause(ctx context.Context, err error) {
 	r.mu.Lock()
-	if err == nil || errors.Is(err, platform.ErrConflict) {
+	if err == nil || errors.Is(err, store.ErrConflict) {
 		r.backoff = 0
 		r.mu.Unlock()
 		return
@@ -463,7 +463,7 @@
 	switch {
 	case err == nil:
 		answer.Outcome = group.Swapped
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		answer.Outcome = group.Conflict
 	}
 	r.pause(ctx, err)
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -10,7 +10,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/internal/guard"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // Timing of the leases and of the takeover of roles.
@@ -104,7 +104,7 @@
 // Write asks for one change of a row under the condition that it is at Expect.
 type Write struct {
 	Key    string
-	Expect platform.Revision
+	Expect store.Revision
 	Value  []byte
 	Remove bool
 	// Why is the reason for the log.
--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -7,13 +7,13 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // fakeStore holds the rows of a test. Hosts see its changes when the test says so.
 type fakeStore struct {
-	rows     map[string]platform.Row
-	revision platform.Revision
+	rows     map[string]store.Row
+	revision store.Revision
 }
 
 func (s *fakeStore) apply(w Write) bool {
@@ -25,14 +25,14 @@
 		delete(s.rows, w.Key)
 		return true
 	}
-	s.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: s.revision}
+	s.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, Revision: s.revision}
 	return true
 }
 
-func (s *fakeStore) all() []platform.Change {
-	var out []platform.Change
+func (s *fakeStore) all() []store.Change {
+	var out []store.Change
 	for _, r := range s.rows {
-		out = append(out, platform.Change{Row: r})
+		out = append(out, store.Change{Row: r})
 	}
 	return out
 }
@@ -49,7 +49,7 @@
 }
 
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{t: t, now: time.Minute, store: &fakeStore{rows: map[string]platform.Row{}}, cut: map[*Machine]bool{}, storeless: map[*Machine]bool{}}
+	f := &fleet{t: t, now: time.Minute, store: &fakeStore{rows: map[string]store.Row{}}, cut: map[*Machine]bool{}, storeless: map[*Machine]bool{}}
 	for i := range n {
 		f.hosts = append(f.hosts, f.machine(fmt.Sprintf("h%d", i), 1))
 	}
--- a/internal/ownership/rows.go
+++ b/internal/ownership/rows.go
@@ -5,18 +5,18 @@
 	"strings"
 	"time"
 
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 type hostRow struct {
 	Host
-	revision platform.Revision
+	revision store.Revision
 }
 
 type roleRow struct {
 	Role
 	name     string
-	revision platform.Revision
+	revision store.Revision
 	// seen is when this host first saw the row.
 	seen time.Duration
 }
@@ -28,7 +28,7 @@
 // Rows takes changes of the rows in. Full says that they are all there are. A
 // positive confirmed is a time at which the rows were complete. Rows that cannot
 // be decoded are returned.
-func (m *Machine) Rows(now, confirmed time.Duration, changes []platform.Change, full bool) (undecoded []string) {
+func (m *Machine) Rows(now, confirmed time.Duration, changes []store.Change, full bool) (undecoded []string) {
 	if full {
 		m.dropUnlisted(changes)
 		m.known = true
@@ -43,7 +43,7 @@
 	return undecoded
 }
 
-func (m *Machine) dropUnlisted(changes []platform.Change) {
+func (m *Machine) dropUnlisted(changes []store.Change) {
 	listed := make(map[string]bool, len(changes))
 	for _, c := range changes {
 		listed[c.Key] = true
@@ -60,7 +60,7 @@
 	}
 }
 
-func (m *Machine) row(now time.Duration, c platform.Change) bool {
+func (m *Machine) row(now time.Duration, c store.Change) bool {
 	key := strings.TrimPrefix(c.Key, m.space+"/")
 	if name, ok := strings.CutPrefix(key, hostSegment); ok {
 		return m.hostChanged(name, c)
@@ -71,7 +71,7 @@
 	return true
 }
 
-func (m *Machine) hostChanged(name string, c platform.Change) bool {
+func (m *Machine) hostChanged(name string, c store.Change) bool {
 	if old, ok := m.hosts[name]; ok && c.Revision <= old.revision && !c.Removed {
 		return true
 	}
@@ -87,7 +87,7 @@
 	return true
 }
 
-func (m *Machine) roleChanged(now time.Duration, name string, c platform.Change) bool {
+func (m *Machine) roleChanged(now time.Duration, name string, c store.Change) bool {
 	old, known := m.roles[name]
 	if known && c.Revision <= old.revision && !c.Removed {
 		return true
--- a/internal/ownership/shell.go
+++ b/internal/ownership/shell.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 )
 
@@ -24,9 +24,9 @@
 type Options struct {
 	Self  Host
 	Space string
-	Table platform.TableService
+	Table store.TableService
 	// Watcher follows the space.
-	Watcher  platform.Watcher
+	Watcher  store.Watcher
 	Wanted   func() []Spec
 	Clock    clock.Clock
 	Log      *log.Logger
@@ -38,7 +38,7 @@
 type Shell struct {
 	opt Options
 
-	follower *platform.Follower
+	follower *store.Follower
 
 	mu      sync.Mutex
 	machine *Machine
@@ -56,7 +56,7 @@
 // New returns a Shell. Nothing happens before Run.
 func New(opt Options) *Shell {
 	s := &Shell{opt: opt, machine: NewMachine(opt.Clock(), opt.Self, opt.Space), shown: map[string]shownRole{}}
-	s.follower = &platform.Follower{
+	s.follower = &store.Follower{
 		Watcher: opt.Watcher, Space: opt.Space, Wait: PollWait, MaxAge: PollAge, Clock: opt.Clock,
 		Log: opt.Log, Counters: opt.Counters, Apply: s.apply,
 	}
@@ -64,7 +64,7 @@
 }
 
 // Follower returns what follows the rows, for the exchange with peers.
-func (s *Shell) Follower() *platform.Follower { return s.follower }
+func (s *Shell) Follower() *store.Follower { return s.follower }
 
 // Run follows the rows and claims roles until ctx ends.
 func (s *Shell) Run(ctx context.Context) {
@@ -82,7 +82,7 @@
 	wg.Wait()
 }
 
-func (s *Shell) apply(rows []platform.Change, full bool, confirmed time.Duration) {
+func (s *Shell) apply(rows []store.Change, full bool, confirmed time.Duration) {
 	now := s.opt.Clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -111,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	s.opt.Counters.Add("store_writes", 1)
-	var rev platform.Revision
+	var rev store.Revision
 	var err error
 	if w.Remove {
 		err = s.opt.Table.Delete(ctx, w.Key, w.Expect)
@@ -124,10 +124,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil && !w.Remove {
-		s.machine.Rows(now, 0, []platform.Change{{Row: platform.Row{Key: w.Key, Value: w.Value, Revision: rev}}}, false)
+		s.machine.Rows(now, 0, []store.Change{{Row: store.Row{Key: w.Key, Value: w.Value, Revision: rev}}}, false)
 		s.report(now)
 	}
-	if err == nil || errors.Is(err, platform.ErrConflict) {
+	if err == nil || errors.Is(err, store.ErrConflict) {
 		s.machine.Done(w.Key)
 	}
 	return err
--- a/internal/scale/model.go
+++ b/internal/scale/model.go
@@ -13,7 +13,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/fleet"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 const (
@@ -33,10 +33,10 @@
 	hosts  []*modelHost
 	byAddr map[string]*modelHost
 
-	rows map[string]platform.Row
+	rows map[string]store.Row
 	// newest is the newest revision by key prefix.
-	newest  map[string]platform.Revision
-	rev     platform.Revision
+	newest  map[string]store.Revision
+	rev     store.Revision
 	objects map[string][]byte
 	doc     *config.Document
 
@@ -77,10 +77,10 @@
 
 func newModel(doc *config.Document, seed uint64) *model {
 	m := &model{
-		rng: rand.New(rand.NewPCG(seed, 1)), byAddr: map[string]*modelHost{}, rows: map[string]platform.Row{},
-		newest: map[string]platform.Revision{}, objects: map[string][]byte{}, doc: doc,
+		rng: rand.New(rand.NewPCG(seed, 1)), byAddr: map[string]*modelHost{}, rows: map[string]store.Row{},
+		newest: map[string]store.Revision{}, objects: map[string][]byte{}, doc: doc,
 	}
-	var list []platform.ListedHost
+	var list []store.ListedHost
 	for i, h := range doc.Inventory.Hosts {
 		address := fmt.Sprintf("10.0.%d.%d:7432", i/250, i%250)
 		host := &modelHost{name: h.Name, zone: h.Zone, f: fleet.New(fleet.Settings{
@@ -89,7 +89,7 @@
 		})}
 		m.hosts = append(m.hosts, host)
 		m.byAddr[address] = host
-		list = append(list, platform.ListedHost{Name: h.Name, Address: address, Zone: h.Zone})
+		list = append(list, store.ListedHost{Name: h.Name, Address: address, Zone: h.Zone})
 	}
 	for _, h := range m.hosts {
 		m.after(0, func() { m.input(h, fleet.HostsListed{Hosts: list}) })
@@ -178,7 +178,7 @@
 	switch c.Op {
 	case fleet.OpGet:
 		m.reads++
-		return fleet.StoreDone{Outcome: fleet.OK, Rows: []platform.Row{row}}
+		return fleet.StoreDone{Outcome: fleet.OK, Rows: []store.Row{row}}
 	case fleet.OpScan:
 		m.reads++
 		return fleet.StoreDone{Outcome: fleet.OK, Rows: m.scan(c)}
@@ -188,7 +188,7 @@
 			return fleet.StoreDone{Outcome: fleet.Conflict}
 		}
 		m.rev++
-		m.rows[c.Key] = platform.Row{Key: c.Key, Value: c.Value, Revision: m.rev}
+		m.rows[c.Key] = store.Row{Key: c.Key, Value: c.Value, Revision: m.rev}
 		m.newest[prefixOf(c.Key)] = m.rev
 		return fleet.StoreDone{Outcome: fleet.OK, Revision: m.rev}
 	case fleet.OpPutObject:
@@ -201,17 +201,17 @@
 	}
 }
 
-func (m *model) scan(c fleet.StoreCall) []platform.Row {
+func (m *model) scan(c fleet.StoreCall) []store.Row {
 	if m.newest[prefixOf(c.Key)] <= c.After {
 		return nil
 	}
-	var out []platform.Row
+	var out []store.Row
 	for k, r := range m.rows {
 		if strings.HasPrefix(k, c.Key) && r.Revision > c.After {
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Row) int { return int(a.Revision) - int(b.Revision) })
+	slices.SortFunc(out, func(a, b store.Row) int { return int(a.Revision) - int(b.Revision) })
 	return out
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -25,9 +25,9 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/owner"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
-	"github.com/cranberryhinge/cranberryhinge/internal/platform"
 	"github.com/cranberryhinge/cranberryhinge/internal/report"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 )
 
@@ -35,7 +35,7 @@
 // settings.
 type Options struct {
 	// Platform replaces the connection to the platform's services.
-	Platform *platform.Access
+	Platform *store.Access
 	// TLS replaces the certificate of the client listener.
 	TLS *tls.Config
 	// LogWriter receives the log; default is standard error.
@@ -136,13 +136,13 @@
 	return nil
 }
 
-func (s *Server) platform(opts Options) (platform.Access, error) {
+func (s *Server) platform(opts Options) (store.Access, error) {
 	if opts.Platform != nil {
 		return *opts.Platform, nil
 	}
-	client, err := platform.NewClient(platform.ClientOptions{Address: s.settings.Platform, Host: s.settings.Name})
+	client, err := store.NewClient(store.ClientOptions{Address: s.settings.Platform, Host: s.settings.Name})
 	if err != nil {
-		return platform.Access{}, err
+		return store.Access{}, err
 	}
 	s.closers = append(s.closers, client)
 	return client.Access(), nil
@@ -170,7 +170,7 @@
 // Counters returns this host's counters.
 func (s *Server) Counters() *telemetry.Counters { return s.counters }
 
-func (s *Server) connectShells(access platform.Access, creds credentials.TransportCredentials, clientTLS *tls.Config, opts Options) {
+func (s *Server) connectShells(access store.Access, creds credentials.TransportCredentials, clientTLS *tls.Config, opts Options) {
 	dial := opts.Dial
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
--- a/internal/platform/client.go
+++ b/internal/store/client.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
-	"github.com/cranberryhinge/cranberryhinge/internal/platform/platformpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/store/storepb"
 )
 
 // defaultTimeout bounds a call whose context has no earlier deadline.
@@ -94,14 +94,14 @@
 // invoke runs one call under a deadline.
 func invoke[In, Out any](
 	ctx context.Context, c *Client, in In,
-	call func(platformpb.PlatformClient, context.Context, In, ...grpc.CallOption) (Out, error),
+	call func(storepb.StoreClient, context.Context, In, ...grpc.CallOption) (Out, error),
 ) (Out, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
 	c.mu.Lock()
 	conn := c.conn
 	c.mu.Unlock()
-	out, err := call(platformpb.NewPlatformClient(conn), ctx, in)
+	out, err := call(storepb.NewStoreClient(conn), ctx, in)
 	c.observe(conn, err)
 	return out, errors.Wrap(err, "platform")
 }
@@ -132,7 +132,7 @@
 type clientTables struct{ client *Client }
 
 func (t clientTables) Get(ctx context.Context, key string) (Row, error) {
-	out, err := invoke(ctx, t.client, &platformpb.GetRequest{Key: key}, platformpb.PlatformClient.Get)
+	out, err := invoke(ctx, t.client, &storepb.GetRequest{Key: key}, storepb.StoreClient.Get)
 	if err != nil {
 		return Row{}, err
 	}
@@ -140,8 +140,8 @@
 }
 
 func (t clientTables) Scan(ctx context.Context, prefix string, after Revision) ([]Row, error) {
-	in := &platformpb.ScanRequest{Prefix: prefix, After: uint64(after)}
-	out, err := invoke(ctx, t.client, in, platformpb.PlatformClient.Scan)
+	in := &storepb.ScanRequest{Prefix: prefix, After: uint64(after)}
+	out, err := invoke(ctx, t.client, in, storepb.StoreClient.Scan)
 	if err != nil {
 		return nil, err
 	}
@@ -153,8 +153,8 @@
 }
 
 func (t clientTables) CompareAndSwap(ctx context.Context, key string, expect Revision, value []byte) (Revision, error) {
-	in := &platformpb.CompareAndSwapRequest{Key: key, Expect: uint64(expect), Value: value}
-	out, err := invoke(ctx, t.client, in, platformpb.PlatformClient.CompareAndSwap)
+	in := &storepb.CompareAndSwapRequest{Key: key, Expect: uint64(expect), Value: value}
+	out, err := invoke(ctx, t.client, in, storepb.StoreClient.CompareAndSwap)
 	switch {
 	case err != nil:
 		return 0, err
@@ -165,27 +165,27 @@
 }
 
 func (t clientTables) Delete(ctx context.Context, key string, expect Revision) error {
-	in := &platformpb.DeleteRequest{Key: key, Expect: uint64(expect)}
-	out, err := invoke(ctx, t.client, in, platformpb.PlatformClient.Delete)
+	in := &storepb.DeleteRequest{Key: key, Expect: uint64(expect)}
+	out, err := invoke(ctx, t.client, in, storepb.StoreClient.Delete)
 	if err == nil && out.GetConflict() {
 		return ErrConflict
 	}
 	return err
 }
 
-func rowFromProto(r *platformpb.Row) Row {
+func rowFromProto(r *storepb.Row) Row {
 	return Row{Key: r.GetKey(), Value: r.GetValue(), Revision: Revision(r.GetRevision())}
 }
 
 type clientObjects struct{ client *Client }
 
 func (o clientObjects) Put(ctx context.Context, key string, data []byte) error {
-	_, err := invoke(ctx, o.client, &platformpb.PutObjectRequest{Key: key, Data: data}, platformpb.PlatformClient.PutObject)
+	_, err := invoke(ctx, o.client, &storepb.PutObjectRequest{Key: key, Data: data}, storepb.StoreClient.PutObject)
 	return err
 }
 
 func (o clientObjects) Get(ctx context.Context, key string) ([]byte, error) {
-	out, err := invoke(ctx, o.client, &platformpb.GetObjectRequest{Key: key}, platformpb.PlatformClient.GetObject)
+	out, err := invoke(ctx, o.client, &storepb.GetObjectRequest{Key: key}, storepb.StoreClient.GetObject)
 	if err == nil && !out.GetFound() {
 		return nil, ErrNotFound
 	}
@@ -195,7 +195,7 @@
 type clientHosts struct{ client *Client }
 
 func (h clientHosts) Hosts(ctx context.Context) ([]ListedHost, error) {
-	out, err := invoke(ctx, h.client, &platformpb.HostsRequest{}, platformpb.PlatformClient.Hosts)
+	out, err := invoke(ctx, h.client, &storepb.HostsRequest{}, storepb.StoreClient.Hosts)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/fake.go
+++ b/internal/store/fake.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 )
 
 // ErrUnavailable reports an outage of the fake, or an answer that it lost.
-var ErrUnavailable = errors.New("platform: unavailable")
+var ErrUnavailable = errors.New("store: unavailable")
 
 // FakeSettings describe a fake platform.
 type FakeSettings struct {
@@ -173,7 +173,7 @@
 	if f.cut[host] {
 		f.mu.Unlock()
 		<-ctx.Done()
-		return nil, errors.Wrap(ctx.Err(), "platform: host is cut off")
+		return nil, errors.Wrap(ctx.Err(), "store: host is cut off")
 	}
 	c := f.counts[host]
 	if write {
--- a/internal/platform/server.go
+++ b/internal/store/server.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
-	"github.com/cranberryhinge/cranberryhinge/internal/platform/platformpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/store/storepb"
 )
 
 // maxMessageBytes bounds a gRPC message in both directions. Configuration
@@ -33,7 +33,7 @@
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverPingInterval, Timeout: serverPingTimeout}),
 	)
-	platformpb.RegisterPlatformServer(server, &platformServer{fake: fake})
+	storepb.RegisterStoreServer(server, &platformServer{fake: fake})
 	stop := context.AfterFunc(ctx, server.Stop)
 	defer stop()
 	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
@@ -43,7 +43,7 @@
 }
 
 type platformServer struct {
-	platformpb.UnimplementedPlatformServer
+	storepb.UnimplementedStoreServer
 	fake *Fake
 }
 
@@ -66,67 +66,67 @@
 	return status.Error(codes.Unavailable, err.Error())
 }
 
-func rowToProto(r Row) *platformpb.Row {
-	return &platformpb.Row{Key: r.Key, Value: r.Value, Revision: uint64(r.Revision)}
+func rowToProto(r Row) *storepb.Row {
+	return &storepb.Row{Key: r.Key, Value: r.Value, Revision: uint64(r.Revision)}
 }
 
-func (s *platformServer) Get(ctx context.Context, in *platformpb.GetRequest) (*platformpb.GetResponse, error) {
+func (s *platformServer) Get(ctx context.Context, in *storepb.GetRequest) (*storepb.GetResponse, error) {
 	row, err := s.access(ctx).Tables.Get(ctx, in.GetKey())
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	return &platformpb.GetResponse{Row: rowToProto(row)}, nil
+	return &storepb.GetResponse{Row: rowToProto(row)}, nil
 }
 
-func (s *platformServer) Scan(ctx context.Context, in *platformpb.ScanRequest) (*platformpb.ScanResponse, error) {
+func (s *platformServer) Scan(ctx context.Context, in *storepb.ScanRequest) (*storepb.ScanResponse, error) {
 	rows, err := s.access(ctx).Tables.Scan(ctx, in.GetPrefix(), Revision(in.GetAfter()))
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	out := &platformpb.ScanResponse{}
+	out := &storepb.ScanResponse{}
 	for _, row := range rows {
 		out.Rows = append(out.Rows, rowToProto(row))
 	}
 	return out, nil
 }
 
-func (s *platformServer) CompareAndSwap(ctx context.Context, in *platformpb.CompareAndSwapRequest) (*platformpb.CompareAndSwapResponse, error) {
+func (s *platformServer) CompareAndSwap(ctx context.Context, in *storepb.CompareAndSwapRequest) (*storepb.CompareAndSwapResponse, error) {
 	revision, err := s.access(ctx).Tables.CompareAndSwap(ctx, in.GetKey(), Revision(in.GetExpect()), in.GetValue())
 	if errors.Is(err, ErrConflict) {
-		return &platformpb.CompareAndSwapResponse{Conflict: true}, nil
+		return &storepb.CompareAndSwapResponse{Conflict: true}, nil
 	}
-	return &platformpb.CompareAndSwapResponse{Revision: uint64(revision)}, unavailable(err)
+	return &storepb.CompareAndSwapResponse{Revision: uint64(revision)}, unavailable(err)
 }
 
-func (s *platformServer) Delete(ctx context.Context, in *platformpb.DeleteRequest) (*platformpb.DeleteResponse, error) {
+func (s *platformServer) Delete(ctx context.Context, in *storepb.DeleteRequest) (*storepb.DeleteResponse, error) {
 	err := s.access(ctx).Tables.Delete(ctx, in.GetKey(), Revision(in.GetExpect()))
 	if errors.Is(err, ErrConflict) {
-		return &platformpb.DeleteResponse{Conflict: true}, nil
+		return &storepb.DeleteResponse{Conflict: true}, nil
 	}
-	return &platformpb.DeleteResponse{}, unavailable(err)
+	return &storepb.DeleteResponse{}, unavailable(err)
 }
 
-func (s *platformServer) PutObject(ctx context.Context, in *platformpb.PutObjectRequest) (*platformpb.PutObjectResponse, error) {
+func (s *platformServer) PutObject(ctx context.Context, in *storepb.PutObjectRequest) (*storepb.PutObjectResponse, error) {
 	err := s.access(ctx).Objects.Put(ctx, in.GetKey(), in.GetData())
-	return &platformpb.PutObjectResponse{}, unavailable(err)
+	return &storepb.PutObjectResponse{}, unavailable(err)
 }
 
-func (s *platformServer) GetObject(ctx context.Context, in *platformpb.GetObjectRequest) (*platformpb.GetObjectResponse, error) {
+func (s *platformServer) GetObject(ctx context.Context, in *storepb.GetObjectRequest) (*storepb.GetObjectResponse, error) {
 	data, err := s.access(ctx).Objects.Get(ctx, in.GetKey())
 	if errors.Is(err, ErrNotFound) {
-		return &platformpb.GetObjectResponse{}, nil
+		return &storepb.GetObjectResponse{}, nil
 	}
-	return &platformpb.GetObjectResponse{Data: data, Found: err == nil}, unavailable(err)
+	return &storepb.GetObjectResponse{Data: data, Found: err == nil}, unavailable(err)
 }
 
-func (s *platformServer) Hosts(ctx context.Context, _ *platformpb.HostsRequest) (*platformpb.HostsResponse, error) {
+func (s *platformServer) Hosts(ctx context.Context, _ *storepb.HostsRequest) (*storepb.HostsResponse, error) {
 	hosts, err := s.access(ctx).Hosts.Hosts(ctx)
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	out := &platformpb.HostsResponse{}
+	out := &storepb.HostsResponse{}
 	for _, h := range hosts {
-		out.Hosts = append(out.Hosts, &platformpb.ListedHost{Name: h.Name, Address: h.Address, Zone: h.Zone, Leaving: h.Leaving})
+		out.Hosts = append(out.Hosts, &storepb.ListedHost{Name: h.Name, Address: h.Address, Zone: h.Zone, Leaving: h.Leaving})
 	}
 	return out, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/store/store.go
@@ -1,10 +1,12 @@
-// Package platform holds the ports to the platform's services: the
+// Package store holds the ports to the platform's services: the
 // transactional table service, the object store and the lagging host list.
 //
-// A call that returns an error other than ErrConflict may have taken effect:
-// the answer can be lost after the write. Callers settle such a case by reading
-// the row back and comparing the writer id inside its value.
-package platform
+// A call that returns an error other than ErrConflict may have taken effect: the
+// answer can be lost after the write. Where a store carries such a call out late,
+// reading the row back does not settle it, since the write can follow the read
+// while its condition holds. A further conditional write does, because only one
+// of both can win; so does acting only on rows that were read.
+package store
 
 import (
 	"context"
@@ -25,10 +27,10 @@
 
 // ErrConflict reports that the row was not at the expected revision. The write
 // did not take effect.
-var ErrConflict = errors.New("platform: revision conflict")
+var ErrConflict = errors.New("store: revision conflict")
 
 // ErrNotFound reports that an object does not exist.
-var ErrNotFound = errors.New("platform: object not found")
+var ErrNotFound = errors.New("store: object not found")
 
 // TableService is the platform's transactional table service.
 type TableService interface {
--- a/internal/platform/watch.go
+++ b/internal/store/watch.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -23,7 +23,7 @@
 
 // ErrHistoryLost reports that the changes after a revision are no longer known,
 // so that the space has to be read as a whole.
-var ErrHistoryLost = errors.New("platform: history lost")
+var ErrHistoryLost = errors.New("store: history lost")
 
 // Watcher reports changes of a space of rows. A space is the part of the keys
 // before the first slash.
