Record the parts of the failover gap in histograms

The metrics showed how often a group changed its primary and not how long it went without one. Each phase, the wait for the lost owner's lease and the whole gap now have a histogram of their own.

--- a/internal/failover/shell.go
+++ b/internal/failover/shell.go
@@ -78,8 +78,15 @@
 	Clock     clock.Clock
 	Log       *log.Logger
 	Counters  *telemetry.Counters
+	// Latencies takes the parts of each change of a primary, by phase, and the
+	// whole as GapLatency.
+	Latencies *telemetry.Latencies
 }
 
+// GapLatency names the histogram of the times from the loss of a primary, or of
+// its owner, to the next use of one.
+const GapLatency = "failover_gap"
+
 // Shell supervises the groups that this host owns.
 type Shell struct {
 	opt Options
@@ -92,6 +99,8 @@
 	machine *Machine
 	shown   Phase
 	since   time.Duration
+	// without is the time since which the group has had no primary here.
+	without time.Duration
 	samples sample
 	// changed is closed at the next change of phase.
 	changed  chan struct{}
@@ -169,6 +178,7 @@
 		Str("target", g.machine.target).Uint64("term", g.machine.lastPosition.Term).
 		Uint64("number", g.machine.lastPosition.Number).Str("why", g.machine.Why).Msg("group supervision")
 	s.opt.Counters.Add("failover_"+p.String(), 1)
+	s.measure(now, g, p)
 	g.shown, g.since = p, now
 	close(g.changed)
 	g.changed = make(chan struct{})
@@ -177,6 +187,18 @@
 	}
 }
 
+// measure records how long the phase before p took, and the whole gap at its end.
+func (s *Shell) measure(now time.Duration, g *supervised, p Phase) {
+	if g.shown == Idle || g.shown == Leading {
+		g.without = now
+		return
+	}
+	s.opt.Latencies.Record("failover_"+g.shown.String(), now-g.since)
+	if p == Leading {
+		s.opt.Latencies.Record(GapLatency, now-g.without)
+	}
+}
+
 // poll asks a server for its status.
 func (s *Shell) poll(ctx context.Context, name string, g *supervised, server string) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -139,6 +139,7 @@
 		Name: h.settings.Name, Zone: h.settings.Zone, Address: h.settings.Listen.Advertise, Incarnation: rand.Uint64() >> 1,
 		Capacity: h.settings.capacity(),
 	}
+	latencies := telemetry.NewLatencies(h.counters)
 	h.catalog = catalog.NewShell(catalog.Options{
 		Sources: a.Sources, Zones: h.settings.Zones, Watcher: a.Watcher, KeyGrace: h.settings.KeyGrace.Std(),
 		Window: customer.Window{Length: h.settings.RateWindow.Std(), Overage: h.settings.RateOverage, Slack: h.settings.RateSlack},
@@ -150,12 +151,12 @@
 	}
 	h.owners = ownership.New(ownership.Options{
 		Self: self, Space: rowSpace, Table: a.Table, Watcher: a.Watcher, Wanted: h.directory.wanted,
-		Clock: h.clock, Log: h.log, Counters: h.counters,
+		Clock: h.clock, Log: h.log, Counters: h.counters, Latencies: latencies,
 	})
 	h.directory.owners = h.owners
 	h.failover = failover.New(failover.Options{
 		Host: self.Name, Roles: h.directory, Directory: h.directory, Promoter: a.Promoter, Dialer: a.Dialer,
-		Clock: h.clock, Log: h.log, Counters: h.counters,
+		Clock: h.clock, Log: h.log, Counters: h.counters, Latencies: latencies,
 	})
 	h.executor = executor.New(executor.Options{
 		Dialer: a.Dialer, Authority: h.failover, Snapshot: h.catalog.Snapshot, Mine: h.directory.mine, Clock: h.clock, Log: h.log, Counters: h.counters,
@@ -176,7 +177,7 @@
 	h.frontend = frontend.New(frontend.Options{
 		Listener: h.listeners[clientListener], NewClient: a.NewClient, Snapshot: h.catalog.Snapshot, KeysFresh: h.catalog.KeysFresh,
 		Fleet: h.calls, Limiter: h.limiter, Clock: h.clock, Log: h.log, Counters: h.counters,
-		Latencies:  telemetry.NewLatencies(h.counters),
+		Latencies:  latencies,
 		MaxClients: max(h.settings.Descriptors-reservedDescriptors, 1), AbortAfter: h.settings.StopGrace.Std()/2 + stopMargin/4,
 	})
 	h.calls.frontend = h.frontend
--- a/internal/ownership/shell.go
+++ b/internal/ownership/shell.go
@@ -31,8 +31,14 @@
 	Clock    clock.Clock
 	Log      *log.Logger
 	Counters *telemetry.Counters
+	// Latencies takes the waits from a taken role to its use, as SettlingLatency.
+	Latencies *telemetry.Latencies
 }
 
+// SettlingLatency names the histogram of the times from the row that gives this
+// host a role to the end of the last holder's lease.
+const SettlingLatency = "role_settling"
+
 // Shell drives a Machine: it follows the rows, carries the writes out and logs
 // every change of a role.
 type Shell struct {
@@ -51,6 +57,8 @@
 	holder string
 	epoch  uint64
 	held   bool
+	// taken is when this host became the holder in the epoch.
+	taken time.Duration
 }
 
 // New returns a Shell. Nothing happens before Run.
@@ -142,10 +150,16 @@
 	}
 	for name, r := range s.machine.roles {
 		_, held := s.machine.Held(now, name)
-		next := shownRole{holder: r.Holder, epoch: r.Epoch, held: held}
+		next := shownRole{holder: r.Holder, epoch: r.Epoch, held: held, taken: s.shown[name].taken}
 		if s.shown[name] == next {
 			continue
 		}
+		if next.epoch != s.shown[name].epoch {
+			next.taken = now
+		}
+		if held && !s.shown[name].held {
+			s.opt.Latencies.Record(SettlingLatency, now-next.taken)
+		}
 		if held != s.shown[name].held || s.machine.own(r) || s.shown[name].holder == s.opt.Self.Name {
 			s.opt.Log.Info().Str("role", name).Str("holder", r.Holder).Uint64("epoch", r.Epoch).
 				Uint64("revision", uint64(r.revision)).Bool("held", held).Msg("role changed")
--- a/internal/telemetry/latency.go
+++ b/internal/telemetry/latency.go
@@ -53,3 +53,13 @@
 	}
 	return out
 }
+
+// Count returns the number of measurements of a name.
+func (l *Latencies) Count(name string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if h, ok := l.names[name]; ok {
+		return h.TotalCount()
+	}
+	return 0
+}
