Ask for changes that a peer knows only when the long poll does not bring them

Cause: a host that heard of a newer revision from a peer made a short poll at once, although its long poll was about to bring the change, or had just ended for the pause that merges changes.

Change: a host asks once a peer has known more for 300 ms, which is longer than the pause that merges changes. Short polls are counted by reason. The first test fails without the change; the second one shows that a silent long poll is still noticed.

--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -30,9 +30,9 @@
 	mergeCap   = 240 * time.Millisecond
 	// watchInterval is how often the age of the confirmation is looked at.
 	watchInterval = 100 * time.Millisecond
-	// catchUpPause is the least time between two calls that are made because a
-	// peer knows more.
-	catchUpPause = 300 * time.Millisecond
+	// catchUpAfter is how long a peer knows more before this host asks for itself.
+	// A long poll brings the change within mergeCap unless its connection is silent.
+	catchUpAfter = 300 * time.Millisecond
 )
 
 // Knowledge is what a host knows of a space. Two hosts with the same digest know
@@ -75,9 +75,8 @@
 	lost     bool
 	// store dates the answers.
 	store clock.Remote
-	// behind is set when a peer knows more.
-	behind  bool
-	lastTry time.Duration
+	// behind is the time since which a peer has known more, 0 when none does.
+	behind time.Duration
 }
 
 // Run follows the space until ctx ends.
@@ -134,11 +133,16 @@
 	if !f.started {
 		return false // the first long poll reads everything
 	}
-	due := now-f.confirmed >= f.MaxAge || f.behind && now-f.lastTry >= catchUpPause
-	if due {
-		f.behind, f.lastTry = false, now
+	switch {
+	case now-f.confirmed >= f.MaxAge:
+		f.Counters.Add("store_reads_old", 1)
+	case f.behind != 0 && now-f.behind >= catchUpAfter:
+		f.Counters.Add("store_reads_behind", 1)
+	default:
+		return false
 	}
-	return due
+	f.behind = 0
+	return true
 }
 
 // call makes one call and takes its answer in. It reports whether there were
@@ -193,7 +197,7 @@
 		f.remember(r)
 	}
 	f.revision = max(f.revision, c.Revision)
-	f.started, f.complete = true, true
+	f.started, f.complete, f.behind = true, true, 0
 	f.confirm(rows, full, confirmed)
 	return len(rows) > 0
 }
@@ -245,11 +249,12 @@
 	switch {
 	case !f.started:
 	case k.Digest == f.digest:
+		f.behind = 0
 		if at := asked - clock.Longer(k.Age); at > f.confirmed {
 			f.confirm(nil, false, at)
 		}
-	case k.Revision > f.revision:
-		f.behind = true
+	case k.Revision > f.revision && f.behind == 0:
+		f.behind = f.Clock()
 	}
 }
 
--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -21,8 +21,12 @@
 	// forgotten is the revision up to which the history is lost.
 	forgotten Revision
 	silent    bool
-	calls     int
-	clock     func() time.Duration
+	// deaf is set when only long polls are silent.
+	deaf  bool
+	calls int
+	// short counts the calls that do not wait for a change.
+	short int
+	clock func() time.Duration
 }
 
 func (s *space) put(key string) {
@@ -56,10 +60,13 @@
 func (s *space) Watch(ctx context.Context, _ string, after Revision, wait time.Duration) (Changes, error) {
 	s.mu.Lock()
 	s.calls++
+	if wait == 0 {
+		s.short++
+	}
 	s.mu.Unlock()
 	for end := time.Now().Add(wait); ; {
 		s.mu.Lock()
-		silent, lost := s.silent, after < s.forgotten
+		silent, lost := s.silent || s.deaf && wait > 0, after < s.forgotten
 		c := Changes{Revision: s.revision, Stamp: s.clock()}
 		for _, h := range s.history {
 			if h.Revision > after {
@@ -200,3 +207,40 @@
 	b.remember(row("y", 6, false))
 	assert.Assert(t, a.digest != b.digest)
 }
+
+// Guards against a second call for changes that the long poll is about to bring.
+// When a large fleet starts, every change was asked for twice by hosts that heard
+// of it from a peer first.
+func TestChangesUnderWayAreNotAskedForAgain(t *testing.T) {
+	s := newSpace()
+	s.put("first")
+	x := follow(t, s)
+	eventually(t, "first is missing", func() bool { return x.has("first") })
+	for i := range 20 {
+		time.Sleep(25 * time.Millisecond)
+		s.put(string(rune('a' + i)))
+		s.mu.Lock()
+		newest := s.revision
+		s.mu.Unlock()
+		x.PeerKnows(x.Clock(), Knowledge{Digest: 1, Revision: newest})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Equal(t, s.short, 0)
+}
+
+// Guards against a change that stays unknown because the long poll's connection
+// went silent, although a peer knows it.
+func TestPeersShowWhatASilentPollHides(t *testing.T) {
+	s := newSpace()
+	s.put("first")
+	x := follow(t, s)
+	eventually(t, "first is missing", func() bool { return x.has("first") })
+	s.mu.Lock()
+	s.deaf = true
+	s.mu.Unlock()
+	time.Sleep(x.Wait)
+	s.put("hidden")
+	x.PeerKnows(x.Clock(), Knowledge{Digest: 1, Revision: 2})
+	eventually(t, "the hidden change is missing", func() bool { return x.has("hidden") })
+}
