Let the soak draw overtaken hosts, unseen withdrawals, busy and resting callers

The soak could not have found the busy loop after the idle limit.

TestPlan asks for the compound kinds, too.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -11,12 +11,15 @@
 )
 
 const (
-	// thinkTime is the mean pause between two operations of a caller.
-	thinkTime = 40 * time.Millisecond
 	// retryTime is the pause before a new session after a failure.
 	retryTime = 60 * time.Millisecond
 	// sessionLength is the mean number of operations of a session.
 	sessionLength = 30
+	// oldKeyShare is one in how many sessions come with a key that may have been
+	// withdrawn.
+	oldKeyShare = 4
+	// restShare is one in how many transactions rest beyond the idle limit.
+	restShare = 60
 )
 
 // call plays one caller until ctx ends: one session after the other, each at some
@@ -26,8 +29,16 @@
 	for ctx.Err() == nil {
 		p := r.processes[rnd.IntN(len(r.processes))]
 		routes, customers := r.world.Routes(), r.world.Customers()
+		old := rnd.IntN(oldKeyShare) == 0
+		if old {
+			customers = r.world.FormerCustomers()
+		}
 		name := fmt.Sprintf("s%d-%d", i, r.sessions.Add(1))
 		c, err := standin.Connect(r.world, p.settings.Listen.Client, name, routes[rnd.IntN(len(routes))], customers[rnd.IntN(len(customers))])
+		if err != nil && old {
+			clock.Sleep(ctx, retryTime)
+			continue
+		}
 		if err != nil {
 			r.count(false)
 			clock.Sleep(ctx, retryTime)
@@ -50,7 +61,7 @@
 		}
 	}
 	for range 1 + rnd.IntN(2*sessionLength) {
-		clock.Sleep(ctx, time.Duration(rnd.Int64N(int64(2*thinkTime))))
+		clock.Sleep(ctx, time.Duration(rnd.Int64N(int64(2*r.Plan.Think))))
 		if ctx.Err() != nil || c.Closed() {
 			return
 		}
@@ -102,6 +113,10 @@
 			return false, r.judge(p, sent, o) && r.judge(p, time.Now(), c.Rollback())
 		}
 	}
+	if rnd.IntN(restShare) == 0 {
+		time.Sleep(standin.IdleLimit + time.Second)
+		return true, r.judge(p, time.Now(), c.Rollback())
+	}
 	sent = time.Now()
 	if rnd.IntN(8) == 0 {
 		return true, r.judge(p, sent, c.Rollback())
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -38,6 +38,13 @@
 	WithdrawKey   Kind = "withdraw_key"
 	Configure     Kind = "configure"
 	Malformed     Kind = "malformed_entry"
+	// OvertakePaused pauses the hosts of a zone, OvertakeIsolated cuts them off from
+	// the store and from calls of other hosts. Meanwhile the primaries of all groups
+	// are replaced, and the old ones receive nothing more.
+	OvertakePaused   Kind = "overtake_paused"
+	OvertakeIsolated Kind = "overtake_isolated"
+	// WithdrawUnseen withdraws keys while the hosts of a zone do not reach the store.
+	WithdrawUnseen Kind = "withdraw_unseen"
 )
 
 type drawnKind struct {
@@ -76,18 +83,36 @@
 	{Malformed, 0},
 }
 
+// overtakeTime is the longest time of the compound kinds. A lease, the notice that
+// its holder is gone and a promotion fit into half of it, the key grace into most.
+const overtakeTime = 12 * time.Second
+
+// compound kinds bring several troubles about at once. Only profiles that name
+// them draw them, so that the plans of recorded seeds stay as they were.
+var compound = []drawnKind{
+	{OvertakePaused, overtakeTime},
+	{OvertakeIsolated, overtakeTime},
+	{WithdrawUnseen, overtakeTime},
+}
+
 // planned kinds are planned work; the others are faults.
 var planned = map[Kind]bool{StopHost: true, DrainDatabase: true, ZoneOut: true, WithdrawKey: true, Configure: true, Malformed: true}
 
 // profiles are the kinds that the runs of a seed draw from. Pairs of troubles that
 // belong together are rare when all kinds are drawn at once.
 var profiles = [][]Kind{
-	nil, // all
+	nil, // all but the compound ones
 	{StopHost, DrainDatabase, ZoneOut, Configure, Malformed, WithdrawKey},
 	{CutStore, SilenceStore, StoreDown, StoreSlow, StoreLosing, StoreForgets, WithdrawKey, PauseHost},
 	{LoseAnswers, CrashPrimary, CrashReplica, StuckReplica, SlowDatabase, LateOrders, KillHost, SilencePeers},
+	{OvertakePaused, OvertakeIsolated, WithdrawUnseen},
+	{StopHost},
 }
 
+// busyProfile is the profile whose callers hardly pause, so that the end of a
+// process meets requests.
+const busyProfile = 5
+
 // Event is one fault or change.
 type Event struct {
 	At   time.Duration `json:"at"`
@@ -107,8 +132,10 @@
 	Callers  int           `json:"callers"`
 	Duration time.Duration `json:"duration"`
 	// Rate is the rate of each customer.
-	Rate   float64 `json:"rate"`
-	Events []Event `json:"events"`
+	Rate float64 `json:"rate"`
+	// Think is the mean pause between two operations of a caller.
+	Think  time.Duration `json:"think"`
+	Events []Event       `json:"events"`
 }
 
 const (
@@ -116,6 +143,11 @@
 	// callers want more than they may.
 	ampleRate = 150
 	tightRate = 20
+	// busyRate is above what callers without pauses reach.
+	busyRate = 5000
+	// thinkTime is the mean pause of callers, busyThinkTime that of busy ones.
+	thinkTime     = 40 * time.Millisecond
+	busyThinkTime = 2 * time.Millisecond
 	// warmUp is the time without events at the beginning, for the hosts to take
 	// their roles.
 	warmUp = 4 * time.Second
@@ -125,17 +157,27 @@
 	judged = 3 * time.Second
 )
 
+// drawnFrom returns the kinds that a profile names, and all but the compound
+// ones for a profile without names.
+func drawnFrom(profile []Kind) []drawnKind {
+	if len(profile) == 0 {
+		return kinds
+	}
+	return slices.DeleteFunc(slices.Concat(kinds, compound), func(k drawnKind) bool { return !slices.Contains(profile, k.kind) })
+}
+
 // NewPlan draws a plan. Events come alone, in series and overlapping.
 func NewPlan(seed uint64, hosts, callers int, duration time.Duration) Plan {
 	r := rand.New(rand.NewPCG(seed, 0))
-	p := Plan{Seed: seed, Hosts: hosts, Groups: 2, Callers: callers, Duration: duration, Rate: ampleRate}
-	if seed%3 == 0 {
+	p := Plan{Seed: seed, Hosts: hosts, Groups: 2, Callers: callers, Duration: duration, Rate: ampleRate, Think: thinkTime}
+	profile := seed % uint64(len(profiles))
+	switch {
+	case profile == busyProfile:
+		p.Rate, p.Think = busyRate, busyThinkTime
+	case seed%3 == 0:
 		p.Rate = tightRate
 	}
-	drawn := slices.DeleteFunc(slices.Clone(kinds), func(k drawnKind) bool {
-		only := profiles[seed%uint64(len(profiles))]
-		return len(only) > 0 && !slices.Contains(only, k.kind)
-	})
+	drawn := drawnFrom(profiles[profile])
 	for at := warmUp; at < duration-recovery; {
 		k := drawn[r.IntN(len(drawn))]
 		series := 1
@@ -147,6 +189,9 @@
 			if k.most > 0 {
 				e.For = k.most/4 + time.Duration(r.Int64N(int64(k.most*3/4)))
 			}
+			if k.most == overtakeTime {
+				e.For = max(e.For, overtakeTime/2)
+			}
 			p.Events = append(p.Events, e)
 			at += time.Duration(r.Int64N(int64(700 * time.Millisecond)))
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,7 +28,7 @@
 			assert.Assert(t, e.At+e.For < time.Minute-judged, "%s of seed %d lasts into the judged time", e, seed)
 		}
 	}
-	assert.Equal(t, len(seen), len(kinds))
+	assert.Equal(t, len(seen), len(kinds)+len(compound))
 }
 
 // Guards against any broken promise with real processes, in a short run of a seed
