Tell customers over their rate from tokens that could not be had

Neither logs nor metrics told the two apart; it took scratch output to see it.

Change: the refusal names the number of zones that do not answer, and a counter counts such refusals. No decision changes.

--- a/internal/customer/spender.go
+++ b/internal/customer/spender.go
@@ -41,8 +41,12 @@
 // Admit lets a request run.
 type Admit struct{ ID RequestID }
 
-// Refuse refuses a request: it did not run.
-type Refuse struct{ ID RequestID }
+// Refuse refuses a request: it did not run. Silent is the number of zones that did
+// not answer when last asked; with it the customer may be within its rate.
+type Refuse struct {
+	ID     RequestID
+	Silent int
+}
 
 // Settle tells a minter that a grant was spent but for the returned amount.
 type Settle struct {
@@ -138,7 +142,7 @@
 // those before it, is refused at once.
 func (s *Spender) Arrive(now time.Duration, id RequestID) []Action {
 	if s.hopeless() {
-		return append(s.advance(now), Refuse{ID: id})
+		return append(s.advance(now), Refuse{ID: id, Silent: s.silentZones(now)})
 	}
 	s.queue = append(s.queue, waiting{id: id, deadline: now + s.maxWait})
 	return s.advance(now)
@@ -292,12 +296,23 @@
 
 func (s *Spender) refuseOverdue(now time.Duration, actions []Action) []Action {
 	for len(s.queue) > 0 && now >= s.queue[0].deadline {
-		actions = append(actions, Refuse{ID: s.queue[0].id})
+		actions = append(actions, Refuse{ID: s.queue[0].id, Silent: s.silentZones(now)})
 		s.queue = s.queue[1:]
 	}
 	return actions
 }
 
+// silentZones counts the zones that are left out because they did not answer.
+func (s *Spender) silentZones(now time.Duration) int {
+	n := 0
+	for _, z := range s.zones {
+		if z.silent > now {
+			n++
+		}
+	}
+	return n
+}
+
 // ask sends the next ask of the round, or ends the round.
 func (s *Spender) ask(now time.Duration, actions []Action) []Action {
 	if len(s.queue) == 0 || s.open != nil || now < s.resume {
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -197,7 +197,7 @@
 			}
 			a.finish(action.ID, nil)
 		case customer.Refuse:
-			a.finish(action.ID, verdict.New(verdict.NotRun, verdict.RateLimited, "customer %s is over its rate of %g/s with a burst of %g", a.name, a.limit.Rate, a.limit.Burst))
+			a.finish(action.ID, a.refusal(action))
 		case customer.Ask:
 			a.ask(action)
 		case customer.Settle:
@@ -207,6 +207,16 @@
 	a.schedule()
 }
 
+// refusal says whether the customer is over its rate or tokens could not be had.
+func (a *admission) refusal(r customer.Refuse) *verdict.Error {
+	if r.Silent == 0 {
+		return verdict.New(verdict.NotRun, verdict.RateLimited, "customer %s is over its rate of %g/s with a burst of %g", a.name, a.limit.Rate, a.limit.Burst)
+	}
+	a.limiter.opts.Counters.Add("tokens_unavailable", 1)
+	return verdict.New(verdict.NotRun, verdict.RateLimited, "no token in time for customer %s, zones that do not answer: %d; its rate is %g/s with a burst of %g",
+		a.name, r.Silent, a.limit.Rate, a.limit.Burst)
+}
+
 func (a *admission) finish(id customer.RequestID, err error) {
 	if done, ok := a.waiters[id]; ok {
 		delete(a.waiters, id)
--- a/internal/limit/limiter_test.go
+++ b/internal/limit/limiter_test.go
@@ -102,6 +102,23 @@
 	}
 }
 
+// Guards against a refusal that says that a customer is over its rate when the
+// hosts with its tokens do not answer.
+func TestRefusalTellsMissingTokensFromTheRate(t *testing.T) {
+	limiters, peers := newTestLimiters(t, config.Limit{Customer: "acme", Rate: 4, Burst: 4}, "a", "b")
+	exhaust := func() error {
+		for {
+			if err := limiters["a"].Admit(context.Background(), "acme"); err != nil {
+				return err
+			}
+		}
+	}
+	assert.ErrorContains(t, exhaust(), "is over its rate")
+	peers.cut["b"] = true
+	assert.ErrorContains(t, exhaust(), "zones that do not answer: 1")
+	assert.Assert(t, limiters["a"].opts.Counters.Get("tokens_unavailable") > 0)
+}
+
 // Guards against a caller that has gone leaving its waiter behind.
 func TestAbandonedRequestIsNotRun(t *testing.T) {
 	limiters, _ := newTestLimiters(t, config.Limit{Customer: "acme", Rate: 1, Burst: 1}, "a")
