--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,13 +1,9 @@
 package soak
 
 import (
-	"bytes"
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -122,33 +118,6 @@
 	return inTime
 }
 
-// clockTicks is the unit of processor times in /proc: 100 a second on Linux.
-const clockTicks = 100
-
-// processorTime returns the processor time that the running process has used.
-func (p *process) processorTime() (time.Duration, error) {
-	p.mu.Lock()
-	pid := p.cmd.Process.Pid
-	p.mu.Unlock()
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, errors.Wrap(err, "read processor time")
-	}
-	// The second field is the program's name in parentheses; user and system time
-	// are the 12th and 13th after it.
-	fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))
-	const user, system = 11, 12
-	if len(fields) <= system {
-		return 0, errors.Errorf("process %d: %d fields", pid, len(fields))
-	}
-	u, err := strconv.ParseInt(fields[user], 10, 64)
-	if err != nil {
-		return 0, errors.Wrap(err, "user time")
-	}
-	sys, err := strconv.ParseInt(fields[system], 10, 64)
-	return time.Duration(u+sys) * time.Second / clockTicks, errors.Wrap(err, "system time")
-}
-
 // end ends the process for good.
 func (p *process) end() {
 	p.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -15,7 +15,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/faultnet"
 	"github.com/cranberryhinge/cranberryhinge/internal/host"
@@ -59,10 +58,6 @@
 	sound = 4 * time.Second
 	// lastShareLeast is the share that has to be served once all faults are over.
 	lastShareLeast = 0.75
-	// mostProcessor is the share of a processor that a host may use once all faults
-	// are over: what the small machines of the users have. Callers that pause need
-	// a few percent of one.
-	mostProcessor = 0.4
 )
 
 // run is a run in progress.
@@ -196,36 +191,6 @@
 	wg.Wait()
 }
 
-// watchProcessors checks the processor time of the hosts in the last part of a run
-// whose callers pause.
-func (r *run) watchProcessors(ctx context.Context) {
-	if r.Plan.Think < thinkTime {
-		return
-	}
-	clock.Sleep(ctx, time.Until(r.started.Add(r.Plan.Duration-judged)))
-	var wg sync.WaitGroup
-	for _, p := range r.processes {
-		wg.Go(func() {
-			before, err := p.processorTime()
-			if err != nil {
-				fmt.Fprintf(r.Out, "%s: %v\n", p.settings.Name, err)
-				return
-			}
-			began := time.Now()
-			<-ctx.Done()
-			after, err := p.processorTime()
-			if err != nil {
-				fmt.Fprintf(r.Out, "%s: %v\n", p.settings.Name, err)
-				return
-			}
-			if share := float64(after-before) / float64(time.Since(began)); share > mostProcessor {
-				r.world.Oracle.Breach("PROCESSOR: %s used %.2f of a processor after all faults", p.settings.Name, share)
-			}
-		})
-	}
-	wg.Wait()
-}
-
 // fault notes that an unplanned fault lasts for the time.
 func (r *run) fault(d time.Duration) {
 	r.mu.Lock()
@@ -289,56 +254,6 @@
 	}
 }
 
-// compoundEvent brings troubles about that only matter together.
-func (r *run) compoundEvent(e Event) {
-	zone := zones[e.Target%len(zones)]
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	if e.Kind != WithdrawUnseen {
-		wg.Go(func() { r.overtake(e.For) })
-	}
-	for _, p := range r.processes {
-		switch {
-		case p.settings.Zone != zone:
-		case e.Kind == WithdrawUnseen:
-			wg.Go(func() { during(p.store, faultnet.Silent, e.For) })
-		case e.Kind == OvertakePaused:
-			wg.Go(func() {
-				p.signal(syscall.SIGSTOP)
-				time.Sleep(e.For)
-				p.signal(syscall.SIGCONT)
-			})
-		default:
-			wg.Go(func() { during(p.peers, faultnet.Silent, e.For) })
-			wg.Go(func() { during(p.store, faultnet.Silent, e.For) })
-		}
-	}
-	if e.Kind == WithdrawUnseen {
-		r.event(Event{Kind: WithdrawKey, Target: e.Target})
-	}
-}
-
-// overtake has the primaries of all groups replaced. The old ones receive nothing
-// until some time after the end.
-func (r *run) overtake(d time.Duration) {
-	var wg sync.WaitGroup
-	for _, g := range r.world.Groups {
-		old := g.Primary()
-		r.world.Register(g, old, "draining")
-		wg.Go(func() {
-			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(promotion / 10) {
-				if g.Primary() != old {
-					old.SetStuck(true)
-				}
-			}
-			time.Sleep(sound / 2)
-			old.SetStuck(false)
-			r.world.Register(g, old, "ready")
-		})
-	}
-	wg.Wait()
-}
-
 func during(relay *faultnet.Relay, mode faultnet.Mode, d time.Duration) {
 	relay.Set(mode)
 	time.Sleep(d)
