--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -261,7 +261,7 @@
 // probe asks for a sign of life unless a stream uses the connection. It ends
 // the connection if the question could not be sent: its answer is announced, and
 // the next answer would be taken for it.
-func (c *conn) probe(deadline time.Time) {
+func (c *conn) probe(deadline time.Time) error {
 	c.writeMu.Lock()
 	idle := c.idle()
 	var err error
@@ -273,6 +273,7 @@
 	if err != nil {
 		c.end()
 	}
+	return err
 }
 
 // syncBytes is the encoded Sync message.
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -212,11 +212,19 @@
 		case owes && now.Sub(since) >= silentAfter:
 			p.overdue(c)
 		case !owes && c.quietFor(now) >= pingAfter:
-			c.probe(now.Add(terminateTimeout))
+			p.probe(c, now)
 		}
 	}
 }
 
+// probe asks an idle connection for a sign of life.
+func (p *pool) probe(c *conn, now time.Time) {
+	if err := c.probe(now.Add(terminateTimeout)); err != nil {
+		p.h.opt.Counters.Add("backend_probe_failed", 1)
+		p.h.opt.Log.Warn().Str("server", p.name).Err(err).Msg("probe failed, backend connection closed")
+	}
+}
+
 // overdue is called when an answer on a connection is overdue. It probes the
 // server over a fresh connection; if that works, the connections that have been
 // silent as long are not used any more and replaced.
@@ -259,7 +267,7 @@
 		start, owes := c.silentSince()
 		switch {
 		case !owes && c.idle():
-			c.probe(now.Add(terminateTimeout))
+			p.probe(c, now)
 		case !owes || start.After(since):
 		case c.idle():
 			p.h.opt.Counters.Add("backend_silent_retired", 1)
--- a/internal/home/probe_test.go
+++ b/internal/home/probe_test.go
@@ -18,7 +18,7 @@
 	done := make(endings, 1)
 	c := &conn{nc: near, owner: done, statements: newStatements()}
 	go c.read()
-	c.probe(time.Now().Add(-time.Second))
+	assert.Assert(t, c.probe(time.Now().Add(-time.Second)) != nil)
 	select {
 	case <-done:
 	case <-time.After(2 * lingerTimeout):
@@ -35,7 +35,7 @@
 	defer far.Close()
 	c := &conn{nc: near, owner: make(endings, 1), statements: newStatements()}
 	assert.Assert(t, c.attach(&run{}))
-	c.probe(time.Now().Add(time.Second))
+	assert.NilError(t, c.probe(time.Now().Add(time.Second)))
 	_, owes := c.silentSince()
 	assert.Assert(t, !owes)
 	assert.Assert(t, c.usable())
