--- a/internal/soak/compound.go
+++ b/internal/soak/compound.go
@@ -18,9 +18,9 @@
 	}
 	for _, p := range r.processes {
 		switch {
-		case p.settings.Zone != zone:
 		case e.Kind == WithdrawUnseen:
 			wg.Go(func() { during(p.store, faultnet.Silent, e.For) })
+		case p.settings.Zone != zone:
 		case e.Kind == OvertakePaused:
 			wg.Go(func() {
 				p.signal(syscall.SIGSTOP)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -43,7 +43,7 @@
 	// are replaced, and the old ones receive nothing more.
 	OvertakePaused   Kind = "overtake_paused"
 	OvertakeIsolated Kind = "overtake_isolated"
-	// WithdrawUnseen withdraws keys while the hosts of a zone do not reach the store.
+	// WithdrawUnseen withdraws keys while no host reaches the store.
 	WithdrawUnseen Kind = "withdraw_unseen"
 )
 
