Leave no host process behind after a soak

Cause: two events that ended the same process both started it again; the run knew only the later process and ended only that one. A run that was interrupted did not wait for its events either.

Change: starting a process that runs does nothing, and the run waits for its events.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -32,9 +32,14 @@
 }
 
 // start runs the program. It is started again whenever it ends while it is wanted.
+// It does nothing if the program runs already: of two events that ended it, the
+// other one may have started it again.
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.wanted {
+		return nil
+	}
 	p.wanted = true
 	return p.spawn()
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -171,6 +171,7 @@
 // inject carries the events out.
 func (r *run) inject(ctx context.Context) {
 	var wg sync.WaitGroup
+	defer wg.Wait() // an event that ends later would start its process again
 	for _, e := range r.Plan.Events {
 		select {
 		case <-time.After(time.Until(r.started.Add(e.At))):
@@ -188,7 +189,6 @@
 			}
 		})
 	}
-	wg.Wait()
 }
 
 // fault notes that an unplanned fault lasts for the time.
