--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -61,7 +62,7 @@
 		}
 	}
 	for range 1 + rnd.IntN(2*sessionLength) {
-		clock.Sleep(ctx, time.Duration(rnd.Int64N(int64(2*r.Plan.Think))))
+		clock.Sleep(ctx, time.Duration(rnd.Int64N(int64(2*cmp.Or(r.Plan.Think, thinkTime)))))
 		if ctx.Err() != nil || c.Closed() {
 			return
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -83,9 +83,12 @@
 	{Malformed, 0},
 }
 
-// overtakeTime is the longest time of the compound kinds. A lease, the notice that
-// its holder is gone and a promotion fit into half of it, the key grace into most.
-const overtakeTime = 12 * time.Second
+// Bounds of the time of compound kinds. The key grace, and a lease with the notice
+// that its holder is gone and a promotion, are shorter; recovery is longer.
+const (
+	overtakeLeast = 6 * time.Second
+	overtakeTime  = 9 * time.Second
+)
 
 // compound kinds bring several troubles about at once. Only profiles that name
 // them draw them, so that the plans of recorded seeds stay as they were.
@@ -133,7 +136,8 @@
 	Duration time.Duration `json:"duration"`
 	// Rate is the rate of each customer.
 	Rate float64 `json:"rate"`
-	// Think is the mean pause between two operations of a caller.
+	// Think is the mean pause between two operations of a caller; 0, as in results
+	// of earlier versions, stands for thinkTime.
 	Think  time.Duration `json:"think"`
 	Events []Event       `json:"events"`
 }
@@ -190,7 +194,7 @@
 				e.For = k.most/4 + time.Duration(r.Int64N(int64(k.most*3/4)))
 			}
 			if k.most == overtakeTime {
-				e.For = max(e.For, overtakeTime/2)
+				e.For = max(e.For, overtakeLeast)
 			}
 			p.Events = append(p.Events, e)
 			at += time.Duration(r.Int64N(int64(700 * time.Millisecond)))
--- a/internal/soak/processor.go
+++ b/internal/soak/processor.go
@@ -27,7 +27,7 @@
 // watchProcessors checks the processor time of the hosts in the last part of a run
 // whose callers pause.
 func (r *run) watchProcessors(ctx context.Context) {
-	if r.Plan.Think < thinkTime {
+	if r.Plan.Think != 0 && r.Plan.Think < thinkTime {
 		return
 	}
 	clock.Sleep(ctx, time.Until(r.started.Add(r.Plan.Duration-judged)))
