--- a/internal/cli/line.go
+++ b/internal/cli/line.go
@@ -35,13 +35,18 @@
 	return named, nil
 }
 
+// loadLine reads the settings of a host that speaks the line protocol.
+func loadLine(named string) (path string, s host.Settings, err error) {
+	if path, err = settingsPath(named); err != nil {
+		return "", s, err
+	}
+	s, err = host.LoadSettings(path)
+	return path, s, err
+}
+
 // checkLine checks the settings of a host that speaks the line protocol.
 func (a *app) checkLine(named string) error {
-	path, err := settingsPath(named)
-	if err != nil {
-		return err
-	}
-	s, err := host.LoadSettings(path)
+	path, s, err := loadLine(named)
 	if err != nil {
 		return err
 	}
@@ -51,11 +56,7 @@
 
 // serveLine runs a host that speaks the line protocol.
 func (a *app) serveLine(ctx context.Context, named string) error {
-	path, err := settingsPath(named)
-	if err != nil {
-		return err
-	}
-	s, err := host.LoadSettings(path)
+	path, s, err := loadLine(named)
 	if err != nil {
 		return err
 	}
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -11,6 +11,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/customer"
 	"github.com/cranberryhinge/cranberryhinge/internal/failover"
+	"github.com/cranberryhinge/cranberryhinge/internal/fleet"
 	"github.com/cranberryhinge/cranberryhinge/internal/ownership"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
@@ -74,7 +75,7 @@
 		if known && claim.server == x.Name || !known && x.SaysPrimary {
 			v.Primary = x.Name
 		}
-		if home, ok := d.owners.Home("server/"+x.Name, x.Zone); ok {
+		if home, ok := d.owners.Home(fleet.ServerRole(x.Name), x.Zone); ok {
 			v.Homes[x.Name] = toHost(home)
 		}
 	}
--- a/internal/soak/compound.go
+++ b/internal/soak/compound.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/faultnet"
@@ -22,11 +21,7 @@
 			wg.Go(func() { during(p.store, faultnet.Silent, e.For) })
 		case p.settings.Zone != zone:
 		case e.Kind == OvertakePaused:
-			wg.Go(func() {
-				p.signal(syscall.SIGSTOP)
-				time.Sleep(e.For)
-				p.signal(syscall.SIGCONT)
-			})
+			wg.Go(func() { p.pause(e.For) })
 		default:
 			wg.Go(func() { during(p.peers, faultnet.Silent, e.For) })
 			wg.Go(func() { during(p.store, faultnet.Silent, e.For) })
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -87,6 +87,13 @@
 	}
 }
 
+// pause stops the process for the time without ending it.
+func (p *process) pause(d time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	p.signal(syscall.SIGCONT)
+}
+
 // kill ends the process and starts it again after the time.
 func (p *process) kill(down time.Duration) {
 	p.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -226,9 +225,7 @@
 			r.world.Oracle.Breach("LOST: %s did not end within its grace", p.settings.Name)
 		}
 	case PauseHost:
-		p.signal(syscall.SIGSTOP)
-		time.Sleep(e.For)
-		p.signal(syscall.SIGCONT)
+		p.pause(e.For)
 	case CutPeers, SilencePeers, OneWayPeers:
 		mode := map[Kind]faultnet.Mode{CutPeers: faultnet.Cut, SilencePeers: faultnet.Silent, OneWayPeers: faultnet.SilentToTarget}[e.Kind]
 		during(p.peers, mode, e.For)
