--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -70,7 +70,10 @@
 	if err != nil {
 		return r.Plan, errors.Wrap(err, "read result")
 	}
-	return r.Plan, errors.Wrap(json.Unmarshal(data, &r), "decode result")
+	if err := json.Unmarshal(data, &r); err != nil {
+		return soak.Plan{}, errors.Wrap(err, "decode result")
+	}
+	return r.Plan, nil
 }
 
 // soak runs the plans one after the other and prints their results. It returns an
--- a/internal/faultnet/faultnet.go
+++ b/internal/faultnet/faultnet.go
@@ -108,7 +108,10 @@
 	defer r.mu.Unlock()
 	for p := range r.conns {
 		p.silentToTarget, p.silentToClient = true, true
-		time.AfterFunc(targetKeepAliveTimeout, func() { _ = p.target.Close() })
+		// Connections that were accepted in mode Silent have no target.
+		if p.target != nil {
+			time.AfterFunc(targetKeepAliveTimeout, func() { _ = p.target.Close() })
+		}
 	}
 }
 
--- a/internal/faultnet/faultnet_test.go
+++ b/internal/faultnet/faultnet_test.go
@@ -119,6 +119,24 @@
 	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(5*time.Second))
 }
 
+// Guards against a panic when a connection without a target, which was accepted in mode
+// Silent, is made silent for good.
+func TestSilenceConnectionWithoutTarget(t *testing.T) {
+	relay := startEchoRelay(t)
+	relay.SetMode(Silent)
+	conn := dial(t, relay)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if relay.OpenConnections() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the connection is not open yet")
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(5*time.Second))
+	relay.SetMode(Pass)
+	relay.SilenceOpenConnections()
+	time.Sleep(targetKeepAliveTimeout + silentWait)
+	assert.Assert(t, timedOut(echo(conn, silentWait)))
+}
+
 // Guards against a delay that is not applied in each direction.
 func TestDelay(t *testing.T) {
 	relay := startEchoRelay(t)
--- a/internal/home/failure_test.go
+++ b/internal/home/failure_test.go
@@ -146,7 +146,9 @@
 	t.Parallel()
 	f := newFixture(t, nil)
 	full := testServer.Connections - backend.ReservedConnections
-	assert.Assert(t, eventually(func() bool { return f.srv.openSessions() == full }))
+	// The home host counts a connection once its login has ended, the server as soon as
+	// it is accepted.
+	assert.Assert(t, eventually(func() bool { return f.home.Connections("db") == full }))
 	// After verifyAfter without received data, a connection is pinged before a
 	// request is sent on it.
 	time.Sleep(verifyAfter)
@@ -243,6 +245,19 @@
 	assert.Assert(t, eventually(func() bool { return f.home.Connections("db") == full }))
 }
 
+// Guards against an entry host that has to wait for the next change of the role rows after
+// it has asked a host that is no longer the home host.
+func TestRefusalNamesHomeHost(t *testing.T) {
+	home := "h2"
+	f := newFixture(t, func(_ *config.Server, o *Options) { o.HomeHost = func(string) string { return home } })
+	assert.Assert(t, f.writer().query("INSERT a").result().ready != nil)
+	f.home.Release("db")
+	refusal := f.writer().query("INSERT b").result().failure
+	assert.Equal(t, refusal.Reason+" "+refusal.Home, string(verdict.WrongHome)+" h2")
+	home = "h1" // the role row still names this host
+	assert.Equal(t, f.writer().query("INSERT c").result().failure.Home, "")
+}
+
 // Guards against a release that aborts open transactions or admits new ones.
 func TestReleaseDrains(t *testing.T) {
 	f := newFixture(t, nil)
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -55,6 +55,9 @@
 	// caller has to read the role row again; the server is not served until the
 	// next call of ServeBackend. OnEvicted must not block.
 	OnEvicted func(server string)
+	// HomeHost returns the name of the host that holds the home role of a server, empty
+	// if it is not known. If set, refusals of streams for another home host name it.
+	HomeHost func(server string) string
 }
 
 // maxConcurrentDials limits the connections that one host opens concurrently.
@@ -237,12 +240,12 @@
 	}
 	start := first.GetStart()
 	if start == nil {
-		return sendFailure(s, verdict.New(verdict.NotRun, verdict.ProtocolViolation, "Run stream does not begin with a start message"))
+		return h.sendFailure(s, start, verdict.New(verdict.NotRun, verdict.ProtocolViolation, "Run stream does not begin with a start message"))
 	}
 	p, err := h.poolFor(start.Group, start.Server)
 	if err != nil {
 		h.opt.Counters.CountRefusal(verdict.From(err).Reason)
-		return sendFailure(s, verdict.From(err))
+		return h.sendFailure(s, start, verdict.From(err))
 	}
 	r := newRunStream(h, p, s, start)
 	err = r.serve()
@@ -254,9 +257,17 @@
 	}
 	e := verdict.From(err)
 	h.opt.Counters.CountRefusal(e.Reason)
-	return sendFailure(s, e)
+	return h.sendFailure(s, start, e)
 }
 
-func sendFailure(s peer.RunServerStream, e *verdict.Error) error {
-	return s.Send(&peerpb.RunResponse{Kind: &peerpb.RunResponse_Failure{Failure: peer.EncodeFailure(e)}})
+// sendFailure ends a stream with an error. A refusal by a host that is not the home host
+// of the server names the home host.
+func (h *Home) sendFailure(s peer.RunServerStream, start *peerpb.Start, e *verdict.Error) error {
+	f := peer.EncodeFailure(e)
+	if e.Reason == verdict.WrongHome && h.opt.HomeHost != nil {
+		if host := h.opt.HomeHost(start.GetServer()); host != h.opt.Host {
+			f.Home = host
+		}
+	}
+	return s.Send(&peerpb.RunResponse{Kind: &peerpb.RunResponse_Failure{Failure: f}})
 }
--- a/internal/owner/commits.go
+++ b/internal/owner/commits.go
@@ -70,7 +70,7 @@
 		return nil, false
 	}
 	resp := r.response(nil)
-	if resp.GetOwner() != "" {
+	if !resp.GetFromOwner() {
 		return nil, false
 	}
 	resp.Known = true
--- a/internal/owner/commits_test.go
+++ b/internal/owner/commits_test.go
@@ -49,14 +49,11 @@
 // Guards against a base position that is sampled while connections of the previous
 // home host can still commit.
 func TestPositionWaitsForTakeover(t *testing.T) {
-	tc := newTestCluster(t)
+	// The takeover is pending from the start: a request of another host that finds it
+	// done could store a base position at any later time.
+	tc := newConfiguredTestCluster(t, func(o *Options) { o.TakeoverDone = func(string) bool { return false } })
 	tc.eventually(t, "the primary is open", func() bool { return tc.writable("a") })
 	o := tc.owner("a")
-	r := o.runner("g")
-	r.mu.Lock()
-	o.opt.TakeoverDone = func(string) bool { return false }
-	r.commits.baseKnown = false // a request of another host may have set it already
-	r.mu.Unlock()
 	base := positionOf(t, o, "acme")
 	tc.withLock(func() { tc.dbs["a"].status.Position = base + 3 })
 	assert.Equal(t, positionOf(t, o, "acme"), base+3)
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -70,6 +70,12 @@
 // newTestCluster runs three owners on the given databases, or on fake databases if
 // none are given.
 func newTestCluster(t *testing.T, dbs ...*standin.Database) *testCluster {
+	return newConfiguredTestCluster(t, func(*Options) {}, dbs...)
+}
+
+// newConfiguredTestCluster is newTestCluster with a function that changes the options
+// of every owner before it is created.
+func newConfiguredTestCluster(t *testing.T, configure func(*Options), dbs ...*standin.Database) *testCluster {
 	tc := &testCluster{rows: map[string]store.Row{}, dbs: map[string]*fakeDB{}, hosts: map[string]*testHost{}, pollCounts: map[string]int{}}
 	g := config.Group{Name: "g", Durability: config.DurabilityReplicated}
 	for _, n := range serverNames {
@@ -87,10 +93,12 @@
 		h := &testHost{cluster: tc, id: group.Host{Name: "h" + n, Zone: "z" + n, Incarnation: 1}, done: make(chan struct{})}
 		h.leaseUntil = time.Now().Add(testTTL)
 		tc.hosts[h.id.Name] = h
-		h.owner = New(Options{
+		opt := Options{
 			Fleet: h, Table: tc, Peers: h, Counters: telemetry.NewCounters(), Timing: testTiming(), Dial: dial,
 			Credentials: standinCredentials,
-		})
+		}
+		configure(&opt)
+		h.owner = New(opt)
 	}
 	for _, h := range tc.hosts {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -329,6 +329,7 @@
 		Primary:  rep.Primary,
 		AgeUs:    rep.PrimaryAge.Microseconds(),
 	}
+	resp.FromOwner = rep.Owner
 	if !rep.Owner {
 		resp.Known, resp.Owner = rep.PrimaryAnswered, rep.OwnerHost
 		return resp
@@ -352,7 +353,7 @@
 // decodeReport decodes the response to a request that was sent at the time sent.
 func decodeReport(sent time.Duration, resp *peerpb.PositionResponse) group.Report {
 	rep := group.Report{
-		Owner: resp.Owner == "", OwnerHost: resp.Owner, Term: resp.GetPosition().GetTerm(), Primary: resp.Primary,
+		Owner: resp.FromOwner, OwnerHost: resp.Owner, Term: resp.GetPosition().GetTerm(), Primary: resp.Primary,
 		PrimaryAnswered: resp.Known, PrimaryAge: time.Duration(resp.AgeUs) * time.Microsecond,
 	}
 	rep.PrimaryOpen = rep.Owner && resp.Known
--- a/internal/server/directory.go
+++ b/internal/server/directory.go
@@ -216,12 +216,11 @@
 	if term < state.term || resp.GetPrimary() == "" {
 		return
 	}
-	fromOwner := resp.GetOwner() == ""
 	if term > state.term {
 		state.confirmed = false
 	}
 	state.server, state.term = resp.GetPrimary(), term
-	if fromOwner {
+	if resp.GetFromOwner() {
 		state.confirmed, state.suspected = resp.GetKnown(), false
 		return
 	}
@@ -283,7 +282,7 @@
 			continue
 		}
 		d.recordAnswer(name, resp)
-		if resp.GetOwner() == "" && resp.GetKnown() {
+		if resp.GetFromOwner() && resp.GetKnown() {
 			return resp.GetPosition(), nil
 		}
 	}
--- a/internal/server/directory_test.go
+++ b/internal/server/directory_test.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"testing"
 
+	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
@@ -26,10 +27,12 @@
 }
 
 // fakePositionClient answers every Position call with the primary and term that
-// were set.
+// were set, as the owner of the group or, if notOwner is set, as another host that
+// knows no owner.
 type fakePositionClient struct {
-	server atomic.Pointer[string]
-	term   atomic.Uint64
+	notOwner bool
+	server   atomic.Pointer[string]
+	term     atomic.Uint64
 }
 
 func (a *fakePositionClient) set(server string, term uint64) {
@@ -38,7 +41,9 @@
 }
 
 func (a *fakePositionClient) PositionAt(context.Context, string, string, string) (*peerpb.PositionResponse, error) {
-	return &peerpb.PositionResponse{Known: true, Primary: *a.server.Load(), Position: &peerpb.Token{Term: a.term.Load()}}, nil
+	return &peerpb.PositionResponse{
+		Known: true, FromOwner: !a.notOwner, Primary: *a.server.Load(), Position: &peerpb.Token{Term: a.term.Load()},
+	}, nil
 }
 
 // ownerWithoutRoles is the owner shell of a host without a home role in the group.
@@ -77,6 +82,20 @@
 	}
 }
 
+// Guards against an answer without an owner that is taken for the owner's: its
+// position covers no commits, and its primary may not be open.
+func TestAnswerWithoutOwnerConfirmsNothing(t *testing.T) {
+	fleet, answers := &fakeFleet{}, &fakePositionClient{notOwner: true}
+	fleet.document.Store(documentWithTwoServers(func(*config.Document) {}))
+	answers.set("north-1", 1)
+	d := newDirectory(fleet, answers)
+	d.owner = ownerWithoutRoles{}
+	_, err := d.queryPosition(t.Context(), "north", "head-office")
+	assert.ErrorIs(t, err, errOwnerUnavailable)
+	_, _, ok := d.Primary("north")
+	assert.Assert(t, !ok)
+}
+
 func waitForPrimary(t *testing.T, d *directory, want string) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -195,7 +195,7 @@
 	})
 	s.home = home.New(home.Options{
 		Host: s.settings.Name, Credentials: backend, ControlCredentials: control, Authority: s.owner,
-		Log: s.log, Counters: s.counters, OnEvicted: s.onEvicted,
+		Log: s.log, Counters: s.counters, OnEvicted: s.onEvicted, HomeHost: s.homeHost,
 	})
 	calls.serveLocal = s.home.Serve
 	dir := newDirectory(s.member, calls)
@@ -367,6 +367,12 @@
 
 // takeoverDone reports whether the home shell has evicted the data connections of
 // the backend server's previous home host.
+// homeHost returns the name of the host that holds the home role of a backend server.
+func (s *Server) homeHost(name string) string {
+	holder, _ := s.member.Holder(owner.HomeRolePrefix + name)
+	return holder.Name
+}
+
 func (s *Server) takeoverDone(name string) bool { return s.home.TakeoverDone(name) }
 
 // onEvicted starts a new read of the role rows, because another home host has
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -101,7 +101,14 @@
 		wg.Go(func() { r.runCaller(ctx, i) })
 	}
 	wg.Wait()
-	return r.result(), r.saveResult()
+	return r.finish()
+}
+
+// finish forms the result once, because that records a breach if service did not recover,
+// and saves it.
+func (r *run) finish() (Result, error) {
+	res := r.result()
+	return res, r.saveResult(res)
 }
 
 func (r *run) start() error {
@@ -325,8 +332,8 @@
 }
 
 // saveResult writes the result to result.json.
-func (r *run) saveResult() error {
-	data, err := json.MarshalIndent(r.result(), "", "  ")
+func (r *run) saveResult(res Result) error {
+	data, err := json.MarshalIndent(res, "", "  ")
 	if err != nil {
 		return errors.Wrap(err, "encode result")
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cranberryhinge/cranberryhinge/platform/standin"
 )
 
 // Guards against a seed that gives different plans, against plans whose events reach
@@ -48,3 +50,21 @@
 	_, err = os.Stat(filepath.Join(dir, "result.json"))
 	assert.NilError(t, err)
 }
+
+// Guards against a result that is formed twice, so that result.json and the caller get
+// different breaches.
+func TestSavedResultIsTheReturnedOne(t *testing.T) {
+	env, err := standin.NewEnvironment(nil, nil)
+	assert.NilError(t, err)
+	defer env.Close()
+	r := &run{Options: Options{Dir: t.TempDir(), Plan: Plan{Rate: nonLimitingRate}}, env: env}
+	r.finalAttempted.Store(10)
+	res, err := r.finish()
+	assert.NilError(t, err)
+	assert.Equal(t, len(res.Breaches), 1)
+	data, err := os.ReadFile(filepath.Join(r.Dir, "result.json"))
+	assert.NilError(t, err)
+	var saved Result
+	assert.NilError(t, json.Unmarshal(data, &saved))
+	assert.DeepEqual(t, saved.Breaches, res.Breaches)
+}
