Follow tables in which another program has written odd rows

Cause: one row of a page that does not decode (value no base64, version above 64 bits, key no text, nesting above the decoder's limit in any field) failed the decoding of the whole page, and the follower repeated that read for ever.

Change: pages are split into rows without decoding them, and each row is decoded by itself. A row whose value is odd counts as changed and undecodable, one without a usable key or version is skipped; both with one bounded log line for each revision. A registry entry that turns odd counts as missing: the last good form stays in use for missingServerGrace, because the page says that an odd entry names no database, not that the database has left. This replaces the assertion that such a server is dropped at once.

A late answer of an overlapping call could restore a removed row; changes up to the host's revision are now ignored.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -131,12 +131,6 @@
 	return names
 }
 
-// SkippedRow is a row that could not be decoded.
-type SkippedRow struct {
-	Key string
-	Err error
-}
-
 // Catalog builds snapshots from the rows of the store. It is not safe for
 // concurrent use.
 type Catalog struct {
@@ -149,7 +143,10 @@
 	// missingSince holds the time since which a server has had no registry
 	// entry.
 	missingSince map[string]time.Duration
-	skippedRows  []SkippedRow
+	// skippedRows are the rows that could not be decoded since the last call of
+	// TakeSkippedRows; skipped holds those that were reported before.
+	skippedRows []store.SkippedRow
+	skipped     store.SkippedRows
 }
 
 // missingServerGrace is how long a server without a registry entry remains in
@@ -182,9 +179,13 @@
 		if r.Removed || !c.sources.IsConfiguration(r.Key) {
 			continue
 		}
-		next, err := c.sources.DecodeConfiguration(r.Value)
+		var next *Configuration
+		err := r.Err
+		if err == nil {
+			next, err = c.sources.DecodeConfiguration(r.Value)
+		}
 		if err != nil {
-			c.skippedRows = append(c.skippedRows, SkippedRow{Key: r.Key, Err: err})
+			c.skip(r, err)
 			continue
 		}
 		if c.current == nil || next.Document.Version > c.current.Document.Version {
@@ -195,7 +196,8 @@
 }
 
 // ApplyRegistryRows applies changes of the registry. If full is set, the rows are
-// the complete registry. A server whose entry cannot be decoded is not used.
+// the complete registry. A server whose entry can no longer be decoded counts as
+// missing: if it lives, it writes its entry again.
 func (c *Catalog) ApplyRegistryRows(now time.Duration, rows []store.Change, full bool) {
 	if full {
 		for name := range c.servers {
@@ -209,13 +211,17 @@
 			c.markMissing(now, name)
 			continue
 		}
-		delete(c.missingSince, name)
-		s, err := c.sources.DecodeServer(r.Key, r.Value)
+		var s Server
+		err := r.Err
+		if err == nil {
+			s, err = c.sources.DecodeServer(r.Key, r.Value)
+		}
 		if err != nil {
-			c.skippedRows = append(c.skippedRows, SkippedRow{Key: r.Key, Err: err})
-			delete(c.servers, name)
+			c.skip(r, err)
+			c.markMissing(now, name)
 			continue
 		}
+		delete(c.missingSince, name)
 		if s.ColdRemaining > 0 {
 			s.ColdUntil = now + s.ColdRemaining
 		}
@@ -223,6 +229,13 @@
 	}
 }
 
+// skip records a row that cannot be decoded, unless this revision was recorded before.
+func (c *Catalog) skip(r store.Change, err error) {
+	if c.skipped.IsNew(r.Key, r.Revision) {
+		c.skippedRows = append(c.skippedRows, store.SkippedRow{Key: r.Key, Revision: r.Revision, Err: err})
+	}
+}
+
 func (c *Catalog) markMissing(now time.Duration, name string) {
 	if _, known := c.servers[name]; !known {
 		return
@@ -247,7 +260,7 @@
 }
 
 // TakeSkippedRows returns the rows skipped since the last call, and removes them.
-func (c *Catalog) TakeSkippedRows() []SkippedRow {
+func (c *Catalog) TakeSkippedRows() []store.SkippedRow {
 	out := c.skippedRows
 	c.skippedRows = nil
 	return out
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -102,8 +102,13 @@
 	_, a := c.Snapshot().Server("a")
 	_, b := c.Snapshot().Server("b")
 	assert.Assert(t, a && !b)
-	// A server whose entry becomes malformed is no longer used.
+	// A server whose entry becomes malformed counts as missing. It is in use until then,
+	// because another writer's entry says nothing about the server.
 	c.ApplyRegistryRows(9*time.Second, []store.Change{row("reg/a", "malformed")}, false)
+	assert.Equal(t, len(c.Snapshot().Group("g")), 1)
+	assert.Assert(t, !c.RemoveMissingServers(9*time.Second+missingServerGrace-1))
+	c.ApplyRegistryRows(10*time.Second, []store.Change{row("reg/a", "broken")}, false)
+	assert.Assert(t, c.RemoveMissingServers(9*time.Second+missingServerGrace))
 	assert.Equal(t, len(c.Snapshot().Group("g")), 0)
 }
 
--- a/internal/catalog/shell.go
+++ b/internal/catalog/shell.go
@@ -49,9 +49,11 @@
 	// configuration up to which keys may be accepted, before
 	// keyGraceMarginPercent is subtracted.
 	KeyGrace time.Duration
-	Clock    clock.Clock
-	Log      *log.Logger
-	Counters *telemetry.Counters
+	// FollowsStore and IsRelay select how the host follows the store, see store.Follower.
+	FollowsStore, IsRelay func() bool
+	Clock                 clock.Clock
+	Log                   *log.Logger
+	Counters              *telemetry.Counters
 }
 
 // Shell follows the configuration and the registry in the store and keeps the
@@ -81,7 +83,7 @@
 	newFollower := func(space string, maxAge time.Duration, apply func([]store.Change, bool, time.Duration)) *store.Follower {
 		return &store.Follower{
 			Watcher: opt.Watcher, Space: space, LongPollWait: pollWait, MaxConfirmationAge: maxAge, Clock: opt.Clock,
-			Log: opt.Log, Counters: opt.Counters, Apply: apply,
+			Log: opt.Log, Counters: opt.Counters, Apply: apply, Direct: opt.FollowsStore, IsRelay: opt.IsRelay,
 		}
 	}
 	s.configurationFollower = newFollower(opt.Sources.ConfigurationSpace(), opt.KeyGrace*confirmAgeTenths/10, s.applyConfiguration)
@@ -164,7 +166,8 @@
 func (s *Shell) publish() {
 	for _, skipped := range s.catalog.TakeSkippedRows() {
 		s.opt.Counters.Add("rows_undecoded", 1)
-		s.opt.Log.Warn().Str("key", skipped.Key).Err(skipped.Err).Msg("row skipped")
+		key, reason := skipped.LogFields()
+		s.opt.Log.Warn().Str("key", key).Uint64("revision", uint64(skipped.Revision)).Str("error", reason).Msg("row skipped")
 	}
 	next := s.catalog.Snapshot()
 	s.snapshot.Store(next)
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -37,6 +37,15 @@
 	// makes a short poll for them. A long poll returns a change within
 	// maxBatchDelay unless its connection is silent.
 	catchUpDelay = 300 * time.Millisecond
+	// directCheckInterval is the interval at which a host that gets the changes from
+	// its peers checks whether it has to make long polls.
+	directCheckInterval = 100 * time.Millisecond
+	// maxIndirectPause bounds the pause between short polls of a host that gets the
+	// changes from its peers, and maxIndirectDelay the random delay of the first one.
+	// All hosts of a fleet need a short poll at the same time when the store is down,
+	// and the few hosts that make long polls find out when it returns.
+	maxIndirectPause = 2400 * time.Millisecond
+	maxIndirectDelay = 600 * time.Millisecond
 )
 
 // SpaceSummary summarizes the rows of a space that a host has. Two hosts with the
@@ -51,7 +60,8 @@
 }
 
 // Follower reports the changes of a space of rows. A long poll returns changes
-// as they are made.
+// as they are made. In a large fleet, only some hosts make long polls, and the
+// others get the changes from them (see ChangesSince and ApplyPeerChanges).
 //
 // A confirmation is the time up to which no change is missing. It comes from
 // responses of the store, whose stamps date them, and from peers that have the
@@ -67,20 +77,27 @@
 	// MaxConfirmationAge is the age of the last confirmation at which a short poll
 	// is made.
 	MaxConfirmationAge time.Duration
-	Clock              clock.Clock
-	Log                *log.Logger
-	Counters           *telemetry.Counters
+	// Direct reports whether this host makes long polls; if nil, it always does. A
+	// host that does not gets the changes from its peers.
+	Direct func() bool
+	// IsRelay reports whether other hosts get the changes from this one; if nil, none
+	// does. A relay makes short polls at half of MaxConfirmationAge.
+	IsRelay  func() bool
+	Clock    clock.Clock
+	Log      *log.Logger
+	Counters *telemetry.Counters
 	// Apply applies changes. If full is set, rows are all rows of the space.
 	// Every change made before the time confirmed has been passed to this or an
 	// earlier call. Calls are never concurrent.
 	Apply func(rows []Change, full bool, confirmed time.Duration)
 
-	mu           sync.Mutex
-	revision     Revision
-	rowRevisions map[string]Revision
-	digest       uint64
-	confirmedAt  time.Duration
-	initialized  bool
+	mu       sync.Mutex
+	revision Revision
+	// rows holds the last change of each row, including the recent removals.
+	rows        rowCache
+	digest      uint64
+	confirmedAt time.Duration
+	initialized bool
 	// historyAvailable is unset if the whole space has to be read.
 	historyAvailable bool
 	storeLost        bool
@@ -89,6 +106,8 @@
 	// behindSince is the time since which a peer has had newer rows, 0 if no
 	// peer has.
 	behindSince time.Duration
+	// skipped limits the log lines about rows that cannot be decoded.
+	skipped SkippedRows
 }
 
 // Run follows the space until ctx ends.
@@ -103,6 +122,10 @@
 func (f *Follower) runLongPolls(ctx context.Context) {
 	pause, batchDelay := minRetryPause, minBatchDelay
 	for ctx.Err() == nil {
+		if !f.direct() {
+			clock.Sleep(ctx, directCheckInterval)
+			continue
+		}
 		// Without jitter, hosts that start at the same time would poll at the
 		// same time.
 		wait := f.LongPollWait/2 + time.Duration(rand.Int64N(int64(f.LongPollWait/2)+1))
@@ -121,42 +144,64 @@
 	}
 }
 
+// direct reports whether this host makes long polls. The first long poll reads
+// everything.
+func (f *Follower) direct() bool {
+	if f.Direct == nil || f.Direct() {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.initialized
+}
+
 // runShortPolls makes a short poll whenever one is needed.
 func (f *Follower) runShortPolls(ctx context.Context) {
 	pause := minRetryPause
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, ageCheckInterval)
-		if !f.shortPollNeeded() {
+		if f.shortPollCause() == "" {
+			pause = minRetryPause
+			continue
+		}
+		maxPause := maxRetryPause
+		if !f.direct() {
+			maxPause = maxIndirectPause
+			clock.Sleep(ctx, time.Duration(rand.Int64N(int64(maxIndirectDelay))))
+		}
+		// A peer may have confirmed the rows in the meantime.
+		cause := f.shortPollCause()
+		if cause == "" {
 			continue
 		}
+		f.Counters.Add(cause, 1)
 		if _, err := f.poll(ctx, 0); err != nil {
 			clock.Sleep(ctx, time.Duration(rand.Int64N(int64(pause))))
-			pause = min(2*pause, maxRetryPause)
-			continue
+			pause = min(2*pause, maxPause)
 		}
-		pause = minRetryPause
 	}
 }
 
-// shortPollNeeded reports whether the last confirmation is too old, or a peer
-// has had newer rows for too long. It counts the polls by their cause.
-func (f *Follower) shortPollNeeded() bool {
+// shortPollCause returns the counter of the reason for a short poll: the last
+// confirmation is too old, or a peer has had newer rows for too long. It returns an
+// empty string if no short poll is needed.
+func (f *Follower) shortPollCause() string {
+	maxAge := f.MaxConfirmationAge
+	if f.IsRelay != nil && f.IsRelay() {
+		maxAge /= 2
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Clock()
-	if !f.initialized {
-		return false // the first long poll reads everything
-	}
 	switch {
-	case now-f.confirmedAt >= f.MaxConfirmationAge:
-		f.Counters.Add("store_reads_old", 1)
+	case !f.initialized:
+		return "" // the first long poll reads everything
+	case now-f.confirmedAt >= maxAge:
+		return "store_reads_old"
 	case f.behindSince != 0 && now-f.behindSince >= catchUpDelay:
-		f.Counters.Add("store_reads_behind", 1)
-	default:
-		return false
+		return "store_reads_behind"
 	}
-	f.behindSince = 0
-	return true
+	return ""
 }
 
 // poll makes one call and applies its response. It reports whether there were
@@ -184,6 +229,7 @@
 	f.logAvailability(ctx, err, sent)
 	switch {
 	case err == nil:
+		f.logSkipped(c.Skipped)
 		return f.applyResponse(c, full, sent), nil
 	case errors.Is(err, ErrHistoryLost):
 		f.Log.Info().Str("space", f.Space).Uint64("revision", uint64(after)).Msg("store history lost, reading the whole space")
@@ -203,42 +249,47 @@
 		return false // the response of a concurrent call was later and is already applied
 	}
 	rows := c.Rows
+	return f.applyChanges(rows, full, c.Revision, confirmed)
+}
+
+// applyChanges applies changes up to a revision that is not older than this host's.
+// It reports whether there were new ones. The caller holds the lock.
+func (f *Follower) applyChanges(rows []Change, full bool, revision Revision, confirmed time.Duration) (changed bool) {
 	if full {
-		f.rowRevisions, f.digest = make(map[string]Revision, len(rows)), 0
+		f.rows, f.digest = newRowCache(revision), 0
 	} else {
 		rows = f.newRows(rows)
 	}
 	for _, r := range rows {
 		f.recordRow(r)
 	}
-	f.revision = max(f.revision, c.Revision)
+	f.revision = max(f.revision, revision)
 	f.initialized, f.historyAvailable, f.behindSince = true, true, 0
 	f.applyConfirmed(rows, full, confirmed)
 	return len(rows) > 0
 }
 
-// newRows returns the rows that are newer than those applied.
+// newRows returns the rows that are newer than those applied. A change up to the
+// revision of this host is either applied or superseded, although its row may be gone.
 func (f *Follower) newRows(rows []Change) []Change {
 	var out []Change
 	for _, r := range rows {
-		if r.Revision > f.rowRevisions[r.Key] {
+		if r.Revision > f.revision && r.Revision > f.rows.changes[r.Key].Revision {
 			out = append(out, r)
 		}
 	}
 	return out
 }
 
-// recordRow updates the revision of a row and the digest, which covers the
-// existing rows.
+// recordRow updates the cached row and the digest, which covers the existing rows.
 func (f *Follower) recordRow(r Change) {
-	if old, ok := f.rowRevisions[r.Key]; ok {
-		f.digest ^= rowDigest(r.Key, old)
-		delete(f.rowRevisions, r.Key)
+	if old, ok := f.rows.changes[r.Key]; ok && !old.Removed {
+		f.digest ^= rowDigest(r.Key, old.Revision)
 	}
 	if !r.Removed {
-		f.rowRevisions[r.Key] = r.Revision
 		f.digest ^= rowDigest(r.Key, r.Revision)
 	}
+	f.rows.record(r)
 }
 
 func rowDigest(key string, rev Revision) uint64 {
@@ -277,6 +328,18 @@
 	}
 }
 
+// logSkipped logs and counts the rows that cannot be decoded, once for each revision.
+// The caller holds the lock.
+func (f *Follower) logSkipped(rows []SkippedRow) {
+	for _, r := range rows {
+		if f.skipped.IsNew(r.Key, r.Revision) {
+			key, reason := r.LogFields()
+			f.Counters.Add("rows_undecoded", 1)
+			f.Log.Warn().Str("space", f.Space).Str("key", key).Uint64("revision", uint64(r.Revision)).Str("error", reason).Msg("row skipped")
+		}
+	}
+}
+
 // logAvailability logs when calls to the store start to fail and when they succeed
 // again. The caller holds the lock.
 func (f *Follower) logAvailability(ctx context.Context, err error, sent time.Duration) {
--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
@@ -23,6 +24,8 @@
 	// changes. For older ones it returns ErrHistoryLost.
 	historyLostUpTo Revision
 	silent          bool
+	// failing is set if every call fails at once.
+	failing bool
 	// longPollsSilent is set if only long polls get no response.
 	longPollsSilent bool
 	calls           int
@@ -65,7 +68,11 @@
 	if wait == 0 {
 		s.shortPolls++
 	}
+	failing := s.failing
 	s.mu.Unlock()
+	if failing {
+		return Changes{}, errors.New("store down")
+	}
 	for end := time.Now().Add(wait); ; {
 		s.mu.Lock()
 		silent, lost := s.silent || s.longPollsSilent && wait > 0, after < s.historyLostUpTo
@@ -98,6 +105,11 @@
 }
 
 func startFollower(t *testing.T, s *fakeWatcher) *testFollower {
+	return startFollowerWith(t, s, func(*Follower) {})
+}
+
+// startFollowerWith starts a follower after configure has changed its fields.
+func startFollowerWith(t *testing.T, s *fakeWatcher, configure func(*Follower)) *testFollower {
 	start := time.Now()
 	s.clock = func() time.Duration { return time.Since(start) + time.Hour }
 	x := &testFollower{rows: map[string]Revision{}}
@@ -121,6 +133,7 @@
 		}
 		x.confirmedAt = confirmed
 	}
+	configure(x.Follower)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { x.Run(ctx) })
@@ -196,7 +209,7 @@
 // Guards against a digest that depends on the changes by which the rows were
 // reached.
 func TestDigestDependsOnlyOnCurrentRows(t *testing.T) {
-	a, b := &Follower{rowRevisions: map[string]Revision{}}, &Follower{rowRevisions: map[string]Revision{}}
+	a, b := &Follower{rows: newRowCache(0)}, &Follower{rows: newRowCache(0)}
 	row := func(key string, rev Revision, removed bool) Change {
 		return Change{Row: Row{Key: key, Revision: rev}, Removed: removed}
 	}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -11,11 +11,22 @@
 type Change struct {
 	Row
 	Removed bool
+	// Err is set if the value of the row cannot be decoded. The value is then empty.
+	Err error
+}
+
+// SkippedRow is a row that cannot be decoded. Its key and revision may be incomplete.
+type SkippedRow struct {
+	Key      string
+	Revision Revision
+	Err      error
 }
 
 // Changes are the changes of a space up to Revision.
 type Changes struct {
-	Rows     []Change
+	Rows []Change
+	// Skipped are rows that another program has written and that cannot be decoded.
+	Skipped  []SkippedRow
 	Revision Revision
 	// Stamp is the time of the response on the store's monotonic clock.
 	Stamp time.Duration
