Let heartbeats, rows and samples of a large fleet go through relays

Cause: in a fleet of 295 hosts each one followed three spaces of the store by itself, sent and received full heartbeats of 295 hosts with text names, and called the owners of all 20 groups every 300 ms for their samples (up to 1,000 calls a second for each owner, on 0.192 cores). Ranking hosts filtered, copied and sorted all of them.

Change: in fleets of more than 32 others, two hosts of each zone, the largest ones, are relays. Each host exchanges heartbeats with them by turns, in a packed form, and gets with the answer the rows that have changed after its revision, their confirmation with its age counted from before the request, and the states of all groups. Relays exchange with relays of other zones and query the owners. Only relays make long polls, and poll at half of the age; the others read the store when no peer confirms their rows, at a slower pace while it is down, or make long polls themselves when no relay answers for 1.2 s. A few fixed neighbors bound the number of connections; idle ones are closed, and their buffers are 8 instead of 32 KB. Rankings are kept until the registered hosts change. A host or role row that another program has overwritten is repaired.

Also the reload of settings: what can change at run time (log_level, memory_mb) changes, other changed settings are refused by name, an invalid file changes nothing; both are counted.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -146,20 +146,21 @@
 		Capacity: h.settings.capacity(),
 	}
 	latencies := telemetry.NewLatencies(h.counters)
-	h.catalog = catalog.NewShell(catalog.Options{
-		Sources: a.Sources, Zones: h.settings.Zones, Watcher: a.Watcher, KeyGrace: h.settings.KeyGrace.Std(),
-		Window: customer.Window{Length: h.settings.RateWindow.Std(), Overage: h.settings.RateOverage, Slack: h.settings.RateSlack},
-		Clock:  h.clock, Log: h.log, Counters: h.counters,
-	})
 	h.directory = &directory{
-		self: self, zones: h.settings.Zones, clock: h.clock, snapshot: h.catalog.Snapshot,
+		self: self, zones: h.settings.Zones, clock: h.clock,
 		views: map[string]cachedView{}, primaries: map[string]reportedPrimary{},
 	}
 	h.ownership = ownership.New(ownership.Options{
 		Self: self, Space: rowSpace, Table: a.Table, Watcher: a.Watcher, WantedRoles: h.directory.wantedRoles,
 		Clock: h.clock, Log: h.log, Counters: h.counters, Latencies: latencies,
 	})
-	h.directory.ownership = h.ownership
+	h.catalog = catalog.NewShell(catalog.Options{
+		Sources: a.Sources, Zones: h.settings.Zones, Watcher: a.Watcher, KeyGrace: h.settings.KeyGrace.Std(),
+		Window:       customer.Window{Length: h.settings.RateWindow.Std(), Overage: h.settings.RateOverage, Slack: h.settings.RateSlack},
+		FollowsStore: h.ownership.FollowsStore, IsRelay: h.ownership.IsRelay,
+		Clock: h.clock, Log: h.log, Counters: h.counters,
+	})
+	h.directory.ownership, h.directory.snapshot = h.ownership, h.catalog.Snapshot
 	h.failover = failover.New(failover.Options{
 		Host: self.Name, Roles: h.directory, Directory: h.directory, Promoter: a.Promoter, Dialer: a.Dialer,
 		Clock: h.clock, Log: h.log, Counters: h.counters, Latencies: latencies,
@@ -170,7 +171,8 @@
 	h.peerCalls = &peerCalls{
 		directory: h.directory, pool: peer.NewPool(nil, nil), executor: h.executor, failover: h.failover, counters: h.counters,
 		workers:  pond.NewPool(heartbeatWorkers, pond.WithQueueSize(heartbeatWorkers), pond.WithNonBlocking(true)),
-		suspects: map[string]bool{}, followers: map[string]*store.Follower{},
+		suspects: map[string]bool{}, followers: map[string]*store.Follower{}, groupStates: map[string]receivedState{},
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, f := range append(h.catalog.Followers(), h.ownership.Follower()) {
 		h.peerCalls.followers[f.Space] = f
@@ -197,7 +199,7 @@
 func (h *Host) Run(ctx context.Context, reload <-chan func() (Settings, error)) error {
 	defer h.logWriter.Close()
 	runtime.GOMAXPROCS(h.settings.Cores)
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(h.settings.MemoryMB) * (1 << 20)))
+	h.applyReloadable()
 	h.counters.Publish()
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -244,15 +246,29 @@
 	}
 }
 
-// reload applies the settings that can change at run time: the log level.
+// reload applies the settings that can change at run time. If the new settings are
+// invalid, the old ones stay in force.
 func (h *Host) reload(load func() (Settings, error)) {
 	next, err := load()
 	if err != nil {
+		h.counters.Add("settings_reload_failed", 1)
 		h.log.Error().Err(err).Msg("settings not reloaded")
 		return
 	}
-	h.log.SetLevel(log.ParseLevel(next.LogLevel))
-	h.log.Info().Str("log_level", next.LogLevel).Msg("settings reloaded")
+	changed, fixed := changedSettings(h.settings, next)
+	h.settings.LogLevel, h.settings.MemoryMB = next.LogLevel, next.MemoryMB
+	h.applyReloadable()
+	if len(fixed) > 0 {
+		h.counters.Add("settings_reload_refused", 1)
+		h.log.Warn().Strs("settings", fixed).Msg("changed settings take effect at the next start only")
+	}
+	h.log.Info().Strs("changed", changed).Str("log_level", h.settings.LogLevel).Int("memory_mb", h.settings.MemoryMB).Msg("settings reloaded")
+}
+
+// applyReloadable puts the settings into force that a reload can change.
+func (h *Host) applyReloadable() {
+	h.log.SetLevel(log.ParseLevel(h.settings.LogLevel))
+	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(h.settings.MemoryMB) * (1 << 20)))
 }
 
 // Ready reports whether callers should be routed to this host.
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -1,8 +1,12 @@
 package host
 
 import (
+	"maps"
 	"net"
 	"os"
+	"reflect"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -85,6 +89,8 @@
 	return min(s.ProcessorShare*float64(s.Cores), s.LinkMbps/mbpsPerCore)
 }
 
+var logLevels = []string{"trace", "debug", "info", "warn", "error"}
+
 // Check returns an error that names the first missing or invalid setting.
 func (s *Settings) Check() error {
 	for _, a := range []struct{ name, value string }{
@@ -117,8 +123,36 @@
 		return errors.Errorf("setting stop_grace: %v is less than 1s", s.StopGrace.Std())
 	case s.ProcessorShare <= 0 || s.LinkMbps <= 0:
 		return errors.New("settings processor_share and link_mbps must be positive")
+	case !slices.Contains(logLevels, s.LogLevel):
+		return errors.Errorf("setting log_level: %q is not one of %s", s.LogLevel, strings.Join(logLevels, ", "))
 	case s.MemoryMB <= 0 || s.Descriptors <= 0 || s.Cores <= 0:
 		return errors.New("settings memory_mb, descriptors and cores must be positive")
 	}
 	return nil
 }
+
+// reloadable holds the names of the settings that a reload changes. The others take
+// effect at the next start: hosts of one fleet are not reloaded at the same time, and
+// must not give different answers in the meantime.
+var reloadable = map[string]bool{"log_level": true, "memory_mb": true}
+
+// ReloadableSettings returns the names of the settings that a reload changes, sorted.
+func ReloadableSettings() []string { return slices.Sorted(maps.Keys(reloadable)) }
+
+// changedSettings returns the names of the settings that differ, in the order of the
+// fields of Settings: those that a reload changes, and the others.
+func changedSettings(old, next Settings) (changed, fixed []string) {
+	before, after := reflect.ValueOf(old), reflect.ValueOf(next)
+	for i := range before.NumField() {
+		if reflect.DeepEqual(before.Field(i).Interface(), after.Field(i).Interface()) {
+			continue
+		}
+		name := before.Type().Field(i).Tag.Get("yaml")
+		if reloadable[name] {
+			changed = append(changed, name)
+		} else {
+			fixed = append(fixed, name)
+		}
+	}
+	return changed, fixed
+}
--- a/internal/host/settings_test.go
+++ b/internal/host/settings_test.go
@@ -1,12 +1,17 @@
 package host
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"strings"
 	"testing"
 
+	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 )
 
 func exampleSettings(t *testing.T) string {
@@ -41,8 +46,69 @@
 		{"rate_slack: 20", "rate_slack: -1", "rate_slack"},
 		{"memory_mb: 284", "memory_mb: 0", "memory_mb"},
 		{"log_level: info", "log_level: info\nport: 7", "port"},
+		{"log_level: info", "log_level: loud", "log_level"},
 	} {
 		err := loadSettingsText(t, strings.Replace(exampleSettings(t), c.from, c.to, 1))
 		assert.ErrorContains(t, err, c.setting, "%s for %s", c.to, c.from)
 	}
 }
+
+// reloadTest is a host of which only the parts exist that a reload uses.
+type reloadTest struct {
+	*Host
+	lines bytes.Buffer
+}
+
+func newReloadTest(t *testing.T) *reloadTest {
+	x := &reloadTest{}
+	path := filepath.Join(t.TempDir(), "host.yaml")
+	assert.NilError(t, os.WriteFile(path, []byte(exampleSettings(t)), 0o600))
+	s, err := LoadSettings(path)
+	assert.NilError(t, err)
+	limit := debug.SetMemoryLimit(-1)
+	t.Cleanup(func() { debug.SetMemoryLimit(limit) })
+	x.Host = &Host{settings: s, counters: telemetry.NewCounters(), log: &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: &x.lines}}}
+	return x
+}
+
+// reloadText reloads the example settings after a replacement.
+func (x *reloadTest) reloadText(t *testing.T, from, to string) {
+	path := filepath.Join(t.TempDir(), "host.yaml")
+	assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(exampleSettings(t), from, to, 1)), 0o600))
+	x.reload(func() (Settings, error) { return LoadSettings(path) })
+}
+
+// Guards against a reload that does not change what can change at run time.
+func TestReloadChangesReloadableSettings(t *testing.T) {
+	x := newReloadTest(t)
+	x.reloadText(t, "log_level: info", "log_level: debug")
+	assert.Equal(t, x.log.Level, log.DebugLevel)
+	x.reloadText(t, "memory_mb: 284", "memory_mb: 300")
+	assert.Equal(t, debug.SetMemoryLimit(-1), int64(memoryLimitRatio*float64(300)*(1<<20)))
+	assert.Equal(t, x.counters.Get("settings_reload_refused"), int64(0))
+}
+
+// Guards against hosts of one fleet that answer differently because half of them have
+// been reloaded, and against a refusal that does not name the setting.
+func TestReloadRefusesSettingsOfAnswers(t *testing.T) {
+	x := newReloadTest(t)
+	before := x.settings
+	x.reloadText(t, "key_grace: 5s", "key_grace: 9s")
+	x.reloadText(t, "rate_slack: 20", "rate_slack: 70")
+	assert.DeepEqual(t, x.settings, before)
+	assert.Equal(t, x.counters.Get("settings_reload_refused"), int64(2))
+	for _, name := range []string{"key_grace", "rate_slack"} {
+		assert.Equal(t, strings.Count(x.lines.String(), name), 1, x.lines.String())
+	}
+}
+
+// Guards against an invalid settings file that changes a host or ends it.
+func TestInvalidFileLeavesSettingsInForce(t *testing.T) {
+	x := newReloadTest(t)
+	before := x.settings
+	x.reloadText(t, "log_level: info", "log_level: debug\nmemory_mb: 0")
+	x.reloadText(t, "name:", "{{")
+	assert.DeepEqual(t, x.settings, before)
+	assert.Equal(t, x.log.Level, log.InfoLevel)
+	assert.Equal(t, x.counters.Get("settings_reload_failed"), int64(2))
+}
--- a/internal/ownership/claims.go
+++ b/internal/ownership/claims.go
@@ -53,13 +53,16 @@
 // registerWrite returns the write that creates or updates the row of this host.
 func (m *Machine) registerWrite() (Write, bool) {
 	r, ok := m.hosts[m.self.Name]
-	if m.leaving || ok && r.Host == m.self {
+	key := m.hostKey(m.self.Name)
+	_, overwritten := m.undecodedRows[key]
+	if m.leaving || ok && r.Host == m.self && !overwritten {
 		return Write{}, false
 	}
-	w := Write{Key: m.hostKey(m.self.Name), Value: encode(m.self), Reason: "register"}
+	w := Write{Key: key, Value: encode(m.self), Reason: "register"}
 	if ok {
 		w.Expect = r.revision
 	}
+	w.Expect = m.expect(key, w.Expect)
 	return w, true
 }
 
@@ -70,7 +73,8 @@
 	if !ok || r.Incarnation != m.self.Incarnation {
 		return Write{}, false
 	}
-	return Write{Key: m.hostKey(m.self.Name), Expect: r.revision, Remove: true, Reason: "deregister"}, true
+	key := m.hostKey(m.self.Name)
+	return Write{Key: key, Expect: m.expect(key, r.revision), Remove: true, Reason: "deregister"}, true
 }
 
 // roleWrite returns the write, if any, that a wanted role needs now.
@@ -116,6 +120,8 @@
 		return Write{}, false
 	case m.epochRequested[name]:
 		return m.newRoleWrite(name, r, next, "new epoch"), true
+	case m.overwritten(name):
+		return m.newRoleWrite(name, r, next, "row was overwritten"), true
 	case !r.NoTakeoverWait:
 		// The epoch stays the same. Hosts that read the row from now on see
 		// that no further wait is needed.
@@ -125,6 +131,13 @@
 	return Write{}, false
 }
 
+// overwritten reports whether another program has overwritten the row of a role with one
+// that cannot be decoded.
+func (m *Machine) overwritten(name string) bool {
+	_, ok := m.undecodedRows[m.roleKey(name)]
+	return ok
+}
+
 // vacancy returns the reason why a role may be claimed, or an empty string if it
 // may not. noTakeoverWait is true if no previous holder can still be using the
 // role, so that the takeover wait can be skipped.
@@ -164,7 +177,11 @@
 	if !heldUnderOwnName && (rank < 0 || now-m.contactSince < observationPeriod || now-vacantSince < time.Duration(rank)*claimDelayPerRank || !m.reachesQuorum(now)) {
 		return Write{}, false
 	}
-	next := Role{Holder: m.self.Name, Incarnation: m.self.Incarnation, Address: m.self.Address, Epoch: 1, NoTakeoverWait: noTakeoverWait}
+	next := Role{
+		Holder: m.self.Name, Incarnation: m.self.Incarnation, Address: m.self.Address, Epoch: 1,
+		// The row that was overwritten may have named a holder that this host does not know.
+		NoTakeoverWait: noTakeoverWait && !m.overwritten(name),
+	}
 	if r != nil {
 		next.Epoch = r.Epoch + 1
 	}
@@ -176,6 +193,7 @@
 	if r != nil {
 		w.Expect = r.revision
 	}
+	w.Expect = m.expect(w.Key, w.Expect)
 	return w
 }
 
--- a/internal/ownership/liveness.go
+++ b/internal/ownership/liveness.go
@@ -9,26 +9,34 @@
 // RecordHeartbeats records heartbeats received from other hosts.
 func (m *Machine) RecordHeartbeats(now time.Duration, heartbeats []Heartbeat) {
 	for _, b := range heartbeats {
-		if b.Host == m.self.Name {
-			continue
-		}
-		previous, ok := m.heartbeats[b.Host]
-		if ok && previous.Incarnation == b.Incarnation && b.Counter <= previous.Counter {
-			continue
-		}
-		if ok && previous.Incarnation != b.Incarnation && !m.supersedes(b, previous.Heartbeat) {
-			continue
-		}
-		m.heartbeats[b.Host] = &receivedHeartbeat{Heartbeat: b, receivedAt: now}
-		if now-m.lastHeartbeatAt > m.suspectTimeout() {
-			// The state of the other hosts is as old as the gap without
-			// heartbeats was long.
-			m.contactSince = now
-		}
-		m.lastHeartbeatAt = now
+		m.recordHeartbeat(now, b)
 	}
 }
 
+func (m *Machine) recordHeartbeat(now time.Duration, b Heartbeat) {
+	if b.Host == m.self.Name {
+		return
+	}
+	previous, ok := m.heartbeats[b.Host]
+	if ok && previous.Incarnation == b.Incarnation && b.Counter <= previous.Counter {
+		return
+	}
+	if ok && previous.Incarnation != b.Incarnation && !m.supersedes(b, previous.Heartbeat) {
+		return
+	}
+	received := &receivedHeartbeat{Heartbeat: b, receivedAt: now}
+	m.heartbeats[b.Host] = received
+	if r, ok := m.hosts[b.Host]; ok {
+		r.heartbeat = received
+	}
+	if now-m.lastHeartbeatAt > m.suspectTimeout() {
+		// The state of the other hosts is as old as the gap without
+		// heartbeats was long.
+		m.contactSince = now
+	}
+	m.lastHeartbeatAt = now
+}
+
 // supersedes reports whether a heartbeat of a different incarnation replaces
 // the last one of the same host. It does unless the row of the host contains the
 // incarnation of the last one.
@@ -37,9 +45,8 @@
 	return !ok || r.Incarnation == received.Incarnation || r.Incarnation != previous.Incarnation
 }
 
-// Heartbeats returns the newest heartbeats of all hosts, this one included, for
-// the next gossip exchange.
-func (m *Machine) Heartbeats(now time.Duration) []Heartbeat {
+// OwnHeartbeat returns a new heartbeat of this host.
+func (m *Machine) OwnHeartbeat(now time.Duration) Heartbeat {
 	m.heartbeatCounter++
 	own := Heartbeat{
 		Host: m.self.Name, Incarnation: m.self.Incarnation, Counter: m.heartbeatCounter, Leaving: m.leaving,
@@ -53,7 +60,13 @@
 			own.Released[name] = r.Epoch
 		}
 	}
-	out := []Heartbeat{own}
+	return own
+}
+
+// Heartbeats returns the newest heartbeats of all hosts, this one included, for
+// the next gossip exchange. Its own comes first.
+func (m *Machine) Heartbeats(now time.Duration) []Heartbeat {
+	out := []Heartbeat{m.OwnHeartbeat(now)}
 	for _, b := range m.heartbeats {
 		out = append(out, b.Heartbeat)
 	}
@@ -79,18 +92,6 @@
 	return ok && b.Incarnation == h.Incarnation && now-b.receivedAt < m.suspectTimeout()
 }
 
-// Live returns the hosts that are alive and not leaving, sorted by name.
-func (m *Machine) Live(now time.Duration) []Host {
-	var out []Host
-	for _, r := range m.hosts {
-		if m.isAlive(now, r.Host) && !m.isLeaving(r.Host) {
-			out = append(out, r.Host)
-		}
-	}
-	slices.SortFunc(out, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
-	return out
-}
-
 func (m *Machine) isLeaving(h Host) bool {
 	if h.Name == m.self.Name {
 		return m.leaving
@@ -106,16 +107,18 @@
 	return ok && m.isAlive(now, r.Host)
 }
 
-// Others returns all other registered hosts, sorted by name.
+// Others returns all other registered hosts, sorted by name. The caller must not
+// change the result.
 func (m *Machine) Others() []Host {
-	var out []Host
-	for _, r := range m.hosts {
-		if r.Name != m.self.Name {
-			out = append(out, r.Host)
+	if m.others == nil {
+		for _, r := range m.hosts {
+			if r.Name != m.self.Name {
+				m.others = append(m.others, r.Host)
+			}
 		}
+		slices.SortFunc(m.others, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
 	}
-	slices.SortFunc(out, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
-	return out
+	return m.others
 }
 
 // isReleasing reports whether a host has lost the store for so long that it
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -1,13 +1,9 @@
 package ownership
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/internal/guard"
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
@@ -132,12 +128,20 @@
 	self  Host
 	space string
 
-	hosts            map[string]*hostRow
+	hosts map[string]*hostRow
+	// others, rankings and hostsByBeatID are computed from hosts when they are needed,
+	// and reset when hosts changes.
+	others        []Host
+	rankings      map[rankingKey][]*hostRow
+	hostsByBeatID map[uint64]*hostRow
+
 	roles            map[string]*roleRow
 	heartbeats       map[string]*receivedHeartbeat
 	heartbeatCounter uint64
 	confirmedAt      time.Duration
 	rowsLoaded       bool // all rows have been read since the start
+	// rowsLoadedAt is when all rows were first read.
+	rowsLoadedAt time.Duration
 	// lastHeartbeatAt is when the newest heartbeat of another host arrived.
 	// contactSince is the time since which heartbeats of other hosts have
 	// arrived without a long gap.
@@ -153,6 +157,17 @@
 	// has stopped using it.
 	releasedEpochs map[string]uint64
 	leaving        bool
+	// undecodedRows holds, by key, the revisions of rows that another program has written
+	// and that cannot be decoded. skipped are those that have been reported.
+	undecodedRows map[string]store.Revision
+	skipped       store.SkippedRows
+	// unresponsiveUntil holds, for each host that has not answered a heartbeat of this
+	// host, the time until which it gets no other one.
+	unresponsiveUntil map[string]time.Duration
+	// exchangeRound counts the rounds of heartbeats in a large fleet.
+	exchangeRound int
+	// lastRelayExchangeAt is when an exchange with a relay was last completed.
+	lastRelayExchangeAt time.Duration
 	// registered is set once this process has read its own host row. replaced
 	// is set once another process has registered under the same name after
 	// that.
@@ -166,7 +181,7 @@
 		self: self, space: space, contactSince: now,
 		hosts: map[string]*hostRow{}, roles: map[string]*roleRow{}, heartbeats: map[string]*receivedHeartbeat{},
 		wantedRoles: map[string]RoleSpec{}, vacantSince: map[string]time.Duration{}, pendingWrites: map[string]time.Duration{},
-		epochRequested: map[string]bool{}, releasedEpochs: map[string]uint64{},
+		epochRequested: map[string]bool{}, releasedEpochs: map[string]uint64{}, unresponsiveUntil: map[string]time.Duration{}, undecodedRows: map[string]store.Revision{},
 	}
 }
 
@@ -234,36 +249,6 @@
 	return h.Host, true
 }
 
-// Rank returns the hosts that can hold the role, best first. These are the live
-// hosts of the zone that are not releasing their roles, or all live hosts if
-// the zone has none.
-func (m *Machine) Rank(now time.Duration, role, zone string) []Host {
-	live := m.Live(now)
-	local := live[:0:0]
-	for _, h := range live {
-		if h.Zone == zone && !m.isReleasing(now, h) {
-			local = append(local, h)
-		}
-	}
-	if len(local) > 0 {
-		live = local
-	}
-	slices.SortFunc(live, func(a, b Host) int { return cmp.Compare(rendezvousDistance(role, a), rendezvousDistance(role, b)) })
-	return live
-}
-
-// rendezvousDistance ranks hosts for a role by weighted rendezvous hashing; the
-// lowest value is the best. A host ranks first for a share of the roles that is
-// proportional to its capacity.
-func rendezvousDistance(role string, h Host) float64 {
-	const steps = 1 << 53
-	u := (float64(xxhash.Sum64String(role+"\x00"+h.Name)>>11) + 0.5) / steps
-	return -math.Log(u) / max(h.Capacity, minCapacity)
-}
-
-// minCapacity is the capacity of a host that states none.
-const minCapacity = 0.01
-
 // RequestNewEpoch requests a new epoch of a role that this host holds.
 func (m *Machine) RequestNewEpoch(role string) { m.epochRequested[role] = true }
 
--- /dev/null
+++ b/internal/ownership/ranking.go
@@ -0,0 +1,101 @@
+package ownership
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// rankingKey identifies the ranking of the hosts of one zone, or of all hosts if zone
+// is empty, for a role.
+type rankingKey struct{ role, zone string }
+
+// ranking returns the registered hosts of a zone, or of all zones if zone is empty,
+// best first for the role. Liveness is not taken into account, so that a ranking
+// changes only with the registered hosts.
+func (m *Machine) ranking(role, zone string) []*hostRow {
+	key := rankingKey{role, zone}
+	if r, ok := m.rankings[key]; ok {
+		return r
+	}
+	type rankedHost struct {
+		row      *hostRow
+		distance float64
+	}
+	var ranked []rankedHost
+	for _, r := range m.hosts {
+		if zone == "" || r.Zone == zone {
+			ranked = append(ranked, rankedHost{r, rendezvousDistance(role, r.Host)})
+		}
+	}
+	slices.SortFunc(ranked, func(a, b rankedHost) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance), strings.Compare(a.row.Name, b.row.Name))
+	})
+	out := make([]*hostRow, len(ranked))
+	for i, r := range ranked {
+		out[i] = r.row
+	}
+	if m.rankings == nil {
+		m.rankings = map[rankingKey][]*hostRow{}
+	}
+	m.rankings[key] = out
+	return out
+}
+
+// hostsChanged resets what is computed from the registered hosts.
+func (m *Machine) hostsChanged() {
+	m.others, m.rankings, m.hostsByBeatID = nil, nil, nil
+}
+
+// canHoldRoles reports whether a host is alive and not leaving.
+func (m *Machine) canHoldRoles(now time.Duration, h Host) bool {
+	return m.isAlive(now, h) && !m.isLeaving(h)
+}
+
+// Rank returns the hosts that can hold the role, best first. These are the live
+// hosts of the zone that are not releasing their roles, or all live hosts if
+// the zone has none.
+func (m *Machine) Rank(now time.Duration, role, zone string) []Host {
+	return m.firstRanked(now, role, zone, math.MaxInt)
+}
+
+// firstRanked returns the first n hosts of Rank.
+func (m *Machine) firstRanked(now time.Duration, role, zone string, n int) []Host {
+	if zone != "" {
+		local := firstHosts(m.ranking(role, zone), n, func(h Host) bool { return m.canHoldRoles(now, h) && !m.isReleasing(now, h) })
+		if len(local) > 0 {
+			return local
+		}
+	}
+	return firstHosts(m.ranking(role, ""), n, func(h Host) bool { return m.canHoldRoles(now, h) })
+}
+
+// firstHosts returns the first n hosts of a ranking that are suitable.
+func firstHosts(ranking []*hostRow, n int, suitable func(Host) bool) []Host {
+	var out []Host
+	for _, r := range ranking {
+		if len(out) == n {
+			break
+		}
+		if suitable(r.Host) {
+			out = append(out, r.Host)
+		}
+	}
+	return out
+}
+
+// rendezvousDistance ranks hosts for a role by weighted rendezvous hashing; the
+// lowest value is the best. A host ranks first for a share of the roles that is
+// proportional to its capacity.
+func rendezvousDistance(role string, h Host) float64 {
+	const steps = 1 << 53
+	u := (float64(xxhash.Sum64String(role+"\x00"+h.Name)>>11) + 0.5) / steps
+	return -math.Log(u) / max(h.Capacity, minCapacity)
+}
+
+// minCapacity is the capacity of a host that states none.
+const minCapacity = 0.01
--- a/internal/ownership/rows.go
+++ b/internal/ownership/rows.go
@@ -11,6 +11,11 @@
 type hostRow struct {
 	Host
 	revision store.Revision
+	// firstSeenAt is when this host first read a row with the incarnation.
+	firstSeenAt time.Duration
+	beatID      uint64
+	// heartbeat is the newest heartbeat under the host's name, nil before the first one.
+	heartbeat *receivedHeartbeat
 }
 
 type roleRow struct {
@@ -27,14 +32,23 @@
 
 // ApplyRows applies changes of the rows. If full is set, the changes are the
 // complete set of rows. A confirmed time above 0 is a time at which this host
-// had every row. It returns the keys of rows that cannot be decoded.
+// had every row. It returns the keys of rows that cannot be decoded, once for each
+// revision.
 func (m *Machine) ApplyRows(now, confirmed time.Duration, changes []store.Change, full bool) (undecoded []string) {
 	if full {
 		m.removeUnlistedRows(changes)
-		m.rowsLoaded = true
+		clear(m.undecodedRows)
+		if !m.rowsLoaded {
+			m.rowsLoaded, m.rowsLoadedAt = true, now
+		}
 	}
 	for _, c := range changes {
-		if !m.applyChange(now, c) {
+		if m.applyChange(now, c) {
+			delete(m.undecodedRows, c.Key)
+			continue
+		}
+		m.undecodedRows[c.Key] = c.Revision
+		if m.skipped.IsNew(c.Key, c.Revision) {
 			undecoded = append(undecoded, c.Key)
 		}
 	}
@@ -43,6 +57,12 @@
 	return undecoded
 }
 
+// expect returns the revision that a write of a row has to expect: that of the row, or
+// that of a newer one that cannot be decoded.
+func (m *Machine) expect(key string, rev store.Revision) store.Revision {
+	return max(rev, m.undecodedRows[key])
+}
+
 func (m *Machine) removeUnlistedRows(changes []store.Change) {
 	listed := make(map[string]bool, len(changes))
 	for _, c := range changes {
@@ -50,7 +70,7 @@
 	}
 	for name := range m.hosts {
 		if !listed[m.hostKey(name)] {
-			delete(m.hosts, name)
+			m.removeHost(name)
 		}
 	}
 	for name := range m.roles {
@@ -65,7 +85,7 @@
 func (m *Machine) applyChange(now time.Duration, c store.Change) bool {
 	key := strings.TrimPrefix(c.Key, m.space+"/")
 	if name, ok := strings.CutPrefix(key, hostKeyPrefix); ok {
-		return m.applyHostChange(name, c)
+		return m.applyHostChange(now, name, c)
 	}
 	if name, ok := strings.CutPrefix(key, roleKeyPrefix); ok {
 		return m.applyRoleChange(now, name, c)
@@ -73,22 +93,46 @@
 	return true
 }
 
-func (m *Machine) applyHostChange(name string, c store.Change) bool {
-	if old, ok := m.hosts[name]; ok && c.Revision <= old.revision && !c.Removed {
+func (m *Machine) applyHostChange(now time.Duration, name string, c store.Change) bool {
+	old, known := m.hosts[name]
+	if known && c.Revision <= old.revision && !c.Removed {
 		return true
 	}
 	if c.Removed {
-		delete(m.hosts, name)
+		m.removeHost(name)
 		return true
 	}
-	r := &hostRow{revision: c.Revision}
-	if json.Unmarshal(c.Value, &r.Host) != nil || r.Name != name {
+	r := &hostRow{revision: c.Revision, firstSeenAt: now}
+	if !decodeRow(c.Value, &r.Host) || r.Name != name {
 		return false
 	}
+	if known && old.Incarnation == r.Incarnation {
+		r.firstSeenAt = old.firstSeenAt
+	}
+	r.beatID, r.heartbeat = beatID(r.Name, r.Incarnation), m.heartbeats[name]
 	m.hosts[name] = r
+	m.hostsChanged()
 	return true
 }
 
+// removeHost forgets a host whose row was removed. Its last heartbeat is not needed to
+// suspect it, and would otherwise be kept forever.
+func (m *Machine) removeHost(name string) {
+	delete(m.hosts, name)
+	delete(m.heartbeats, name)
+	delete(m.unresponsiveUntil, name)
+	m.hostsChanged()
+}
+
+// maxRowBytes bounds the value of a row of this space. Host and role rows have a few
+// hundred bytes.
+const maxRowBytes = 4096
+
+// decodeRow decodes the value of a row and returns false if it is no valid one.
+func decodeRow(value []byte, into any) bool {
+	return len(value) <= maxRowBytes && json.Unmarshal(value, into) == nil
+}
+
 func (m *Machine) applyRoleChange(now time.Duration, name string, c store.Change) bool {
 	old, known := m.roles[name]
 	if known && c.Revision <= old.revision && !c.Removed {
@@ -99,7 +143,7 @@
 		return true
 	}
 	r := &roleRow{name: name, revision: c.Revision, firstSeenAt: now}
-	if json.Unmarshal(c.Value, &r.Role) != nil {
+	if !decodeRow(c.Value, &r.Role) {
 		return false
 	}
 	m.roles[name] = r
--- a/internal/ownership/shell.go
+++ b/internal/ownership/shell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -66,7 +67,7 @@
 	s := &Shell{opt: opt, machine: NewMachine(opt.Clock(), opt.Self, opt.Space), loggedRoles: map[string]loggedRole{}}
 	s.follower = &store.Follower{
 		Watcher: opt.Watcher, Space: opt.Space, LongPollWait: PollWait, MaxConfirmationAge: PollAge, Clock: opt.Clock,
-		Log: opt.Log, Counters: opt.Counters, Apply: s.applyRows,
+		Log: opt.Log, Counters: opt.Counters, Apply: s.applyRows, Direct: s.FollowsStore, IsRelay: s.IsRelay,
 	}
 	return s
 }
@@ -197,7 +198,7 @@
 func (s *Shell) FirstRanked(role, zone string) (Host, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ranked := s.machine.Rank(s.opt.Clock(), role, zone)
+	ranked := s.machine.firstRanked(s.opt.Clock(), role, zone, 1)
 	if len(ranked) == 0 {
 		return Host{}, false
 	}
@@ -211,14 +212,78 @@
 	s.machine.RequestNewEpoch(role)
 }
 
-// Exchange records heartbeats received from another host and returns the newest
-// heartbeats of all hosts.
-func (s *Shell) Exchange(in []Heartbeat) []Heartbeat {
+// RecordHeartbeats records heartbeats received from another host.
+func (s *Shell) RecordHeartbeats(in []Heartbeat, packed PackedHeartbeats) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.opt.Clock()
 	s.machine.RecordHeartbeats(now, in)
-	return s.machine.Heartbeats(now)
+	s.machine.RecordPackedHeartbeats(now, packed)
+}
+
+// Heartbeats returns the newest heartbeats of all hosts, that of this host first.
+func (s *Shell) Heartbeats() []Heartbeat {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Heartbeats(s.opt.Clock())
+}
+
+// OwnHeartbeat returns a new heartbeat of this host.
+func (s *Shell) OwnHeartbeat() Heartbeat {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.OwnHeartbeat(s.opt.Clock())
+}
+
+// PackHeartbeats returns the heartbeats for another host of a large fleet.
+func (s *Shell) PackHeartbeats() ([]Heartbeat, PackedHeartbeats) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.PackHeartbeats(s.opt.Clock())
+}
+
+// IsLargeFleet reports whether heartbeats and rows go through relays.
+func (s *Shell) IsLargeFleet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.IsLargeFleet()
+}
+
+// IsRelay reports whether other hosts of a large fleet get the rows from this one.
+func (s *Shell) IsRelay() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.IsLargeFleet() && s.machine.IsRelay(s.opt.Clock())
+}
+
+// FollowsStore reports whether this host follows the store itself.
+func (s *Shell) FollowsStore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.FollowsStore(s.opt.Clock())
+}
+
+// ExchangeTargets returns the hosts for the next round of exchanges in a large fleet.
+func (s *Shell) ExchangeTargets(rng *rand.Rand) []Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.ExchangeTargets(s.opt.Clock(), rng)
+}
+
+// RecordExchange records whether a host has answered a heartbeat. full is set for an
+// exchange of all heartbeats and rows.
+func (s *Shell) RecordExchange(host string, answered, full bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch now := s.opt.Clock(); {
+	case !answered:
+		s.machine.RecordUnresponsive(now, host)
+	default:
+		s.machine.RecordAnswer(host)
+		if full {
+			s.machine.RecordExchange(now, host)
+		}
+	}
 }
 
 // Others returns all other registered hosts, sorted by name.
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -29,6 +29,12 @@
 	// maxReconnectDelay limits the reconnect backoff, so that a restarted host does
 	// not wait long for its peers.
 	maxReconnectDelay = time.Second
+	// idleTimeout is the time without a call after which a connection is closed. In a
+	// fleet of hundreds of hosts each host uses few of the others at any time.
+	idleTimeout = 20 * time.Second
+	// bufferBytes is the size of the read buffer of a connection, and of the write
+	// buffer while it is in use. Most messages have a few hundred bytes.
+	bufferBytes = 8 << 10
 	// maxMessageBytes is larger than the largest accepted frontend message of a
 	// client.
 	maxMessageBytes = 20 << 20
@@ -86,6 +92,10 @@
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithReadBufferSize(bufferBytes),
+		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithSharedWriteBuffer(true),
 	}
 	if p.dial != nil {
 		options = append(options, grpc.WithContextDialer(p.dial))
@@ -131,5 +141,8 @@
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAliveInterval / 2, PermitWithoutStream: true}),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+		grpc.SharedWriteBuffer(true),
 	}
 }
