--- a/internal/cli/line.go
+++ b/internal/cli/line.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v4"
@@ -52,12 +53,17 @@
 		return err
 	}
 	a.printf("%s: host %s in zone %s, %d zones: ok\n", path, s.Name, s.Zone, len(s.Zones))
+	a.printf("changed by a reload (SIGHUP): %s; all other settings by a restart\n", strings.Join(host.ReloadableSettings(), ", "))
 	return nil
 }
 
 // serveLineHost runs a host for the line protocol until ctx ends. SIGHUP makes
 // the host reload its settings.
 func (a *app) serveLineHost(ctx context.Context, flagValue string) error {
+	// Without a handler, SIGHUP ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	path, s, err := loadLineSettings(flagValue)
 	if err != nil {
 		return err
@@ -66,9 +72,6 @@
 	if err != nil {
 		return err
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	reload := make(chan func() (host.Settings, error))
 	go func() {
 		for range hup {
