Make fewer store calls at the start and in the steady state of a fleet

Change: a response of the store names its newest revision, so that it also confirms the rows of the other spaces if they have that revision. The first long poll waits 0.5 s (0.8 s for configuration and registry). Hosts that have registered but were not heard of yet count when a host decides whether others claim a role first.

--- a/internal/catalog/shell.go
+++ b/internal/catalog/shell.go
@@ -33,6 +33,9 @@
 	// reserved for clock differences and for the time from the check of the key
 	// to the backend server.
 	keyGraceMarginPercent = 10
+	// firstLongPollDelay is the pause before the first long poll. A host of a large fleet
+	// knows by then, from the rows of the hosts, that it gets the changes from relays.
+	firstLongPollDelay = 800 * time.Millisecond
 	// missingCheckInterval is the interval between checks for missing servers.
 	missingCheckInterval = 250 * time.Millisecond
 )
@@ -82,7 +85,7 @@
 	s.snapshot.Store(s.catalog.Snapshot())
 	newFollower := func(space string, maxAge time.Duration, apply func([]store.Change, bool, time.Duration)) *store.Follower {
 		return &store.Follower{
-			Watcher: opt.Watcher, Space: space, LongPollWait: pollWait, MaxConfirmationAge: maxAge, Clock: opt.Clock,
+			Watcher: opt.Watcher, Space: space, LongPollWait: pollWait, FirstLongPollDelay: firstLongPollDelay, MaxConfirmationAge: maxAge, Clock: opt.Clock,
 			Log: opt.Log, Counters: opt.Counters, Apply: apply, Direct: opt.FollowsStore, IsRelay: opt.IsRelay,
 		}
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -174,8 +175,10 @@
 		suspects: map[string]bool{}, followers: map[string]*store.Follower{}, groupStates: map[string]receivedState{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	for _, f := range append(h.catalog.Followers(), h.ownership.Follower()) {
+	followers := append(h.catalog.Followers(), h.ownership.Follower())
+	for i, f := range followers {
 		h.peerCalls.followers[f.Space] = f
+		f.Siblings = slices.Concat(followers[:i], followers[i+1:])
 	}
 	h.minters = limit.NewMinters(limiterFleet{h.directory}, h.clock)
 	h.limiter = limit.New(limit.Options{
--- a/internal/ownership/claims.go
+++ b/internal/ownership/claims.go
@@ -172,7 +172,7 @@
 		vacantSince = now
 		m.vacantSince[name] = now
 	}
-	rank := slices.IndexFunc(m.Rank(now, name, m.wantedRoles[name].Zone), func(h Host) bool { return h == m.self })
+	rank := m.claimRank(now, name, m.wantedRoles[name].Zone)
 	heldUnderOwnName := r != nil && r.Holder == m.self.Name
 	if !heldUnderOwnName && (rank < 0 || now-m.contactSince < observationPeriod || now-vacantSince < time.Duration(rank)*claimDelayPerRank || !m.reachesQuorum(now)) {
 		return Write{}, false
--- a/internal/ownership/gossip.go
+++ b/internal/ownership/gossip.go
@@ -23,9 +23,10 @@
 	neighborsPerHost = 4
 	remoteNeighbors  = 2
 	// neighborRounds and remoteRounds are the numbers of rounds from one exchange with a
-	// neighbor to the next, and with a neighbor in another zone.
+	// neighbor to the next, and with a neighbor in another zone. The latter are for zones
+	// without relays: bytes between zones are expensive.
 	neighborRounds = 2
-	remoteRounds   = 8
+	remoteRounds   = 4
 	// remoteRelayExchanges is the number of exchanges of a relay with relays of other
 	// zones in a round.
 	remoteRelayExchanges = 2
@@ -121,16 +122,13 @@
 func (m *Machine) IsLargeFleet() bool { return len(m.hosts) > LargeFleetHosts }
 
 // relays returns the relays of a zone, the preferred one first: the live hosts with the
-// largest capacity. A host that has just registered counts as live, because its first
-// heartbeats have not arrived yet.
+// largest capacity, and those that have just registered.
 func (m *Machine) relays(now time.Duration, zone string) []Host {
 	var out []Host
 	for _, r := range m.ranking(relayRole+zone, zone) {
-		seen := m.isAlive(now, r.Host) || now-r.firstSeenAt < m.suspectTimeout() && r.heartbeat == nil
-		if !seen || m.isLeaving(r.Host) {
-			continue
+		if m.canHoldRolesSoon(now, r) {
+			out = append(out, r.Host)
 		}
-		out = append(out, r.Host)
 	}
 	slices.SortStableFunc(out, func(a, b Host) int { return cmp.Compare(b.Capacity, a.Capacity) })
 	return out[:min(len(out), relaysPerZone)]
@@ -202,7 +200,8 @@
 	if round%neighborRounds == 0 {
 		add(m.neighbors(m.self.Zone, neighborsPerHost), rng.IntN(neighborsPerHost))
 	}
-	if zones := m.otherZones(); round%remoteRounds == 0 && len(zones) > 0 {
+	relaysLost := now-max(m.lastRelayExchangeAt, m.rowsLoadedAt) >= relayTimeout/2
+	if zones := m.otherZones(); relaysLost && round%remoteRounds == 0 && len(zones) > 0 {
 		add(m.neighbors(zones[rng.IntN(len(zones))], remoteNeighbors), rng.IntN(remoteNeighbors))
 	}
 	return out
--- a/internal/ownership/gossip_test.go
+++ b/internal/ownership/gossip_test.go
@@ -315,6 +315,37 @@
 	assert.Assert(t, len(m.Rank(f.now, "role", "nowhere")) > 40, "without live hosts in the zone, those of all zones can hold the role")
 }
 
+// Guards, for the load pattern of all hosts that start together, against claims of one
+// role by many hosts: a host that has registered but was not heard of yet claims first.
+func TestHostsThatStartTogetherClaimEachRoleOnce(t *testing.T) {
+	f := newGossipFleet(t, 89)
+	var specs []RoleSpec
+	for i := range 20 {
+		specs = append(specs, RoleSpec{Name: fmt.Sprint("r", i), Zone: fmt.Sprint("z", i%6)})
+	}
+	for _, h := range f.hosts {
+		h.SetWantedRoles(specs)
+		h.registered = true
+	}
+	// Most heartbeats have not arrived everywhere yet.
+	f.advance(gossipRound+gossipStep, func() {})
+	for _, h := range f.hosts {
+		h.contactSince = f.now - observationPeriod
+	}
+	claims := map[string]int{}
+	f.advance(claimDelayPerRank-gossipStep, func() {
+		for _, h := range f.hosts {
+			for _, w := range h.Tick(f.now) {
+				claims[w.Key]++
+			}
+		}
+	})
+	assert.Equal(t, len(claims), len(specs))
+	for key, n := range claims {
+		assert.Equal(t, n, 1, key)
+	}
+}
+
 // BenchmarkHostDuties measures the recurring work of one host by the size of the fleet.
 func BenchmarkHostDuties(b *testing.B) {
 	for _, n := range []int{9, 89, 295, 1000} {
--- a/internal/ownership/ranking.go
+++ b/internal/ownership/ranking.go
@@ -66,22 +66,46 @@
 // firstRanked returns the first n hosts of Rank.
 func (m *Machine) firstRanked(now time.Duration, role, zone string, n int) []Host {
 	if zone != "" {
-		local := firstHosts(m.ranking(role, zone), n, func(h Host) bool { return m.canHoldRoles(now, h) && !m.isReleasing(now, h) })
+		local := firstHosts(m.ranking(role, zone), n, func(r *hostRow) bool {
+			return m.canHoldRoles(now, r.Host) && !m.isReleasing(now, r.Host)
+		})
 		if len(local) > 0 {
 			return local
 		}
 	}
-	return firstHosts(m.ranking(role, ""), n, func(h Host) bool { return m.canHoldRoles(now, h) })
+	return firstHosts(m.ranking(role, ""), n, func(r *hostRow) bool { return m.canHoldRoles(now, r.Host) })
+}
+
+// canHoldRolesSoon reports whether a host can hold roles or has just registered, so that
+// its first heartbeats have not arrived yet.
+func (m *Machine) canHoldRolesSoon(now time.Duration, r *hostRow) bool {
+	if r.heartbeat == nil && now-r.firstSeenAt < m.suspectTimeout() {
+		return true
+	}
+	return m.canHoldRoles(now, r.Host)
+}
+
+// claimRank returns the number of hosts that are expected to claim a vacant role before
+// this host, or -1 if this host cannot hold the role. Hosts that have just registered
+// count: otherwise many hosts that start together would claim each role.
+func (m *Machine) claimRank(now time.Duration, role, zone string) int {
+	expected := firstHosts(m.ranking(role, zone), math.MaxInt, func(r *hostRow) bool {
+		return m.canHoldRolesSoon(now, r) && !m.isReleasing(now, r.Host)
+	})
+	if len(expected) == 0 || zone == "" {
+		expected = firstHosts(m.ranking(role, ""), math.MaxInt, func(r *hostRow) bool { return m.canHoldRolesSoon(now, r) })
+	}
+	return slices.Index(expected, m.self)
 }
 
 // firstHosts returns the first n hosts of a ranking that are suitable.
-func firstHosts(ranking []*hostRow, n int, suitable func(Host) bool) []Host {
+func firstHosts(ranking []*hostRow, n int, suitable func(*hostRow) bool) []Host {
 	var out []Host
 	for _, r := range ranking {
 		if len(out) == n {
 			break
 		}
-		if suitable(r.Host) {
+		if suitable(r) {
 			out = append(out, r.Host)
 		}
 	}
--- a/internal/ownership/shell.go
+++ b/internal/ownership/shell.go
@@ -19,6 +19,9 @@
 	// callTimeout bounds one write to the store. It is shorter than
 	// writeTimeout, so that the same write is never in flight twice.
 	callTimeout = 800 * time.Millisecond
+	// firstLongPollDelay is the pause before the first long poll. Hosts that are started
+	// together register within 0.3 s.
+	firstLongPollDelay = 500 * time.Millisecond
 )
 
 // Options configure a Shell.
@@ -66,7 +69,7 @@
 func New(opt Options) *Shell {
 	s := &Shell{opt: opt, machine: NewMachine(opt.Clock(), opt.Self, opt.Space), loggedRoles: map[string]loggedRole{}}
 	s.follower = &store.Follower{
-		Watcher: opt.Watcher, Space: opt.Space, LongPollWait: PollWait, MaxConfirmationAge: PollAge, Clock: opt.Clock,
+		Watcher: opt.Watcher, Space: opt.Space, LongPollWait: PollWait, FirstLongPollDelay: firstLongPollDelay, MaxConfirmationAge: PollAge, Clock: opt.Clock,
 		Log: opt.Log, Counters: opt.Counters, Apply: s.applyRows, Direct: s.FollowsStore, IsRelay: s.IsRelay,
 	}
 	return s
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -74,6 +74,10 @@
 	// LongPollWait is the longest time for which the store may hold a long poll
 	// without a change.
 	LongPollWait time.Duration
+	// FirstLongPollDelay is the pause between the first read of the whole space and the
+	// first long poll. Hosts that start together write their rows within it, so that one
+	// poll returns all of them.
+	FirstLongPollDelay time.Duration
 	// MaxConfirmationAge is the age of the last confirmation at which a short poll
 	// is made.
 	MaxConfirmationAge time.Duration
@@ -82,7 +86,10 @@
 	Direct func() bool
 	// IsRelay reports whether other hosts get the changes from this one; if nil, none
 	// does. A relay makes short polls at half of MaxConfirmationAge.
-	IsRelay  func() bool
+	IsRelay func() bool
+	// Siblings are the other followers of the same store. Revisions order the changes of
+	// all spaces, so that a response for one space can confirm the rows of the others.
+	Siblings []*Follower
 	Clock    clock.Clock
 	Log      *log.Logger
 	Counters *telemetry.Counters
@@ -98,6 +105,8 @@
 	digest      uint64
 	confirmedAt time.Duration
 	initialized bool
+	// firstReadAt is when the first response was applied.
+	firstReadAt time.Duration
 	// historyAvailable is unset if the whole space has to be read.
 	historyAvailable bool
 	storeLost        bool
@@ -120,7 +129,7 @@
 
 // runLongPolls reads changes as they are made.
 func (f *Follower) runLongPolls(ctx context.Context) {
-	pause, batchDelay := minRetryPause, minBatchDelay
+	pause, batchDelay, first := minRetryPause, minBatchDelay, true
 	for ctx.Err() == nil {
 		if !f.direct() {
 			clock.Sleep(ctx, directCheckInterval)
@@ -131,6 +140,9 @@
 		wait := f.LongPollWait/2 + time.Duration(rand.Int64N(int64(f.LongPollWait/2)+1))
 		changed, err := f.poll(ctx, wait)
 		switch {
+		case err == nil && first:
+			first = false
+			clock.Sleep(ctx, f.FirstLongPollDelay)
 		case err == nil && changed:
 			clock.Sleep(ctx, batchDelay)
 			batchDelay = min(2*batchDelay, maxBatchDelay)
@@ -198,7 +210,7 @@
 		return "" // the first long poll reads everything
 	case now-f.confirmedAt >= maxAge:
 		return "store_reads_old"
-	case f.behindSince != 0 && now-f.behindSince >= catchUpDelay:
+	case f.behindSince != 0 && now-max(f.behindSince, f.firstReadAt+f.FirstLongPollDelay) >= catchUpDelay:
 		return "store_reads_behind"
 	}
 	return ""
@@ -224,32 +236,61 @@
 		c, err = f.Watcher.Watch(ctx, f.Space, after, wait)
 	}
 	f.Log.Debug().Str("space", f.Space).Dur("wait", wait).Dur("took", f.Clock()-sent).Int("rows", len(c.Rows)).Err(err).Msg("store read")
+	if err != nil {
+		return false, f.processFailure(ctx, err, sent)
+	}
+	confirmed, changed := f.processResponse(ctx, c, full, sent)
+	for _, sibling := range f.Siblings {
+		sibling.confirmUpTo(c.Revision, confirmed)
+	}
+	return changed, nil
+}
+
+// processFailure records that a call which was sent at sent failed. It returns nil if the
+// store has answered that the history is lost.
+func (f *Follower) processFailure(ctx context.Context, err error, sent time.Duration) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.logAvailability(ctx, err, sent)
-	switch {
-	case err == nil:
-		f.logSkipped(c.Skipped)
-		return f.applyResponse(c, full, sent), nil
-	case errors.Is(err, ErrHistoryLost):
-		f.Log.Info().Str("space", f.Space).Uint64("revision", uint64(after)).Msg("store history lost, reading the whole space")
+	if errors.Is(err, ErrHistoryLost) {
+		f.Log.Info().Str("space", f.Space).Uint64("revision", uint64(f.revision)).Msg("store history lost, reading the whole space")
 		f.historyAvailable = false
-		return false, nil
+		return nil
 	}
 	f.Counters.Add("store_failures_"+f.Space, 1)
-	return false, err
+	return err
+}
+
+// processResponse applies the response to a call that was sent at sent. It returns the
+// time up to which the response contains every change, and whether there were new ones.
+func (f *Follower) processResponse(ctx context.Context, c Changes, full bool, sent time.Duration) (confirmed time.Duration, changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.logAvailability(ctx, nil, sent)
+	f.logSkipped(c.Skipped)
+	return f.applyResponse(c, full, sent)
+}
+
+// confirmUpTo confirms the rows at a time at which the newest revision of the store was
+// rev, if this host has every change up to it.
+func (f *Follower) confirmUpTo(rev Revision, at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.historyAvailable && f.revision >= rev && at > f.confirmedAt {
+		f.applyConfirmed(nil, false, at)
+	}
 }
 
 // applyResponse applies a response. It skips rows that have been applied
-// already, because the responses of two concurrent calls may overlap. The
-// caller holds the lock.
-func (f *Follower) applyResponse(c Changes, full bool, sent time.Duration) (changed bool) {
-	confirmed := f.storeClock.EarliestLocal(sent, f.Clock(), c.Stamp)
+// already, because the responses of two concurrent calls may overlap. It returns the
+// time up to which the response contains every change, and whether there were new ones.
+// The caller holds the lock.
+func (f *Follower) applyResponse(c Changes, full bool, sent time.Duration) (confirmed time.Duration, changed bool) {
+	confirmed = f.storeClock.EarliestLocal(sent, f.Clock(), c.Stamp)
 	if full && c.Revision < f.revision {
-		return false // the response of a concurrent call was later and is already applied
+		return confirmed, false // the response of a concurrent call was later and is already applied
 	}
-	rows := c.Rows
-	return f.applyChanges(rows, full, c.Revision, confirmed)
+	return confirmed, f.applyChanges(c.Rows, full, c.Revision, confirmed)
 }
 
 // applyChanges applies changes up to a revision that is not older than this host's.
@@ -264,6 +305,9 @@
 		f.recordRow(r)
 	}
 	f.revision = max(f.revision, revision)
+	if !f.initialized {
+		f.firstReadAt = f.Clock()
+	}
 	f.initialized, f.historyAvailable, f.behindSince = true, true, 0
 	f.applyConfirmed(rows, full, confirmed)
 	return len(rows) > 0
--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -224,6 +224,25 @@
 	assert.Assert(t, a.digest != b.digest)
 }
 
+// Guards, for the load pattern of all hosts that start together, against a response for
+// each row that is written meanwhile, and against a host that stays behind.
+func TestFirstLongPollReturnsRowsOfOtherStartingHosts(t *testing.T) {
+	s := newFakeWatcher()
+	s.put("first")
+	x := startFollowerWith(t, s, func(f *Follower) {
+		f.FirstLongPollDelay, f.MaxConfirmationAge = 400*time.Millisecond, 2*time.Second
+	})
+	waitFor(t, "first is missing", func() bool { return x.has("first") })
+	for i := range 20 {
+		s.put(string(rune('a' + i)))
+		time.Sleep(10 * time.Millisecond)
+	}
+	waitFor(t, "the last row is missing", func() bool { return x.has(string(rune('a' + 19))) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Assert(t, s.calls <= 3, "%d calls", s.calls)
+}
+
 // Guards against a short poll for changes that the long poll is about to
 // return. Without the delay before a short poll, the hosts of a large fleet read
 // every change twice at their start if a peer reported it first.
--- a/internal/store/peerchanges_test.go
+++ b/internal/store/peerchanges_test.go
@@ -264,3 +264,28 @@
 func startIndirectFollower(t *testing.T, s *fakeWatcher) *testFollower {
 	return startFollowerWith(t, s, func(f *Follower) { f.Direct = func() bool { return false } })
 }
+
+// Guards against a confirmation by the response for another space that does not hold:
+// after a change of this space that the host lacks, or of rows that it has not read.
+func TestResponseConfirmsOtherSpaces(t *testing.T) {
+	now := time.Minute
+	x := newAppliedRows(func() time.Duration { return now })
+	x.confirmUpTo(0, now)
+	assert.Equal(t, x.confirmedAt, time.Duration(0), "nothing was read yet")
+	x.mu.Lock()
+	x.applyResponse(Changes{Revision: 7, Stamp: now}, true, now)
+	x.mu.Unlock()
+	first := x.confirmedAt
+	now += time.Second
+	x.confirmUpTo(8, now)
+	assert.Equal(t, x.confirmedAt, first, "revision 8 may be a change of this space")
+	x.confirmUpTo(7, now)
+	assert.Equal(t, x.confirmedAt, now)
+	x.confirmUpTo(6, now-time.Second)
+	assert.Equal(t, x.confirmedAt, now, "a confirmation must not go back")
+	x.mu.Lock()
+	x.historyAvailable = false
+	x.mu.Unlock()
+	x.confirmUpTo(7, now+time.Second)
+	assert.Equal(t, x.confirmedAt, now)
+}
