Take no role from a live holder when a partition heals

When the partition healed, the store came back up to a second before the first heartbeats of the others, so that a claim took the role of a live holder, and its group had no primary for the takeover wait of 3 s. 68 claims were sent to a store that did not answer between seconds 6.5 and 10.

Change: no claim without the lease; a claim of a silent holder's role waits for the observation period after the lease had lapsed.

Test: TestHealedPartitionTakesNoRoleFromLiveHolder fails without the change.

--- a/internal/ownership/claims.go
+++ b/internal/ownership/claims.go
@@ -84,7 +84,9 @@
 		delete(m.vacantSince, name)
 		return m.heldRoleWrite(now, name, r)
 	}
-	if m.leaving || !m.registered {
+	if m.leaving || !m.registered || now >= m.LeaseUntil() {
+		// A claim that is sent without the lease rests on rows that may have changed, and
+		// the store may carry it out late.
 		return Write{}, false
 	}
 	reason, noTakeoverWait := m.vacancy(now, r)
@@ -138,6 +140,9 @@
 	return ok
 }
 
+// holderSilent is the reason for a claim of a role whose holder is suspected to be down.
+const holderSilent = "holder is silent"
+
 // vacancy returns the reason why a role may be claimed, or an empty string if it
 // may not. noTakeoverWait is true if no previous holder can still be using the
 // role, so that the takeover wait can be skipped.
@@ -157,7 +162,7 @@
 		// still run.
 		return "holder has restarted", h.Address == r.Address && r.takeoverWaitOver(now)
 	case !m.isAlive(now, h.Host):
-		return "holder is silent", false
+		return holderSilent, false
 	case m.hasReleased(h.Host, r):
 		return "holder has released it", r.takeoverWaitOver(now)
 	}
@@ -172,6 +177,11 @@
 		vacantSince = now
 		m.vacantSince[name] = now
 	}
+	if reason == holderSilent && now-m.leaseSince < observationPeriod {
+		// This host was cut off from the store, probably from other hosts as well. The
+		// first heartbeats arrive up to a second after the connection is back.
+		return Write{}, false
+	}
 	rank := m.claimRank(now, name, m.wantedRoles[name].Zone)
 	heldUnderOwnName := r != nil && r.Holder == m.self.Name
 	if !heldUnderOwnName && (rank < 0 || now-m.contactSince < observationPeriod || now-vacantSince < time.Duration(rank)*claimDelayPerRank || !m.reachesQuorum(now)) {
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -139,7 +139,9 @@
 	heartbeats       map[string]*receivedHeartbeat
 	heartbeatCounter uint64
 	confirmedAt      time.Duration
-	rowsLoaded       bool // all rows have been read since the start
+	// leaseSince is when a confirmation last arrived after the lease had lapsed.
+	leaseSince time.Duration
+	rowsLoaded bool // all rows have been read since the start
 	// rowsLoadedAt is when all rows were first read.
 	rowsLoadedAt time.Duration
 	// lastHeartbeatAt is when the newest heartbeat of another host arrived.
--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -286,3 +286,57 @@
 	}
 	assert.Assert(t, large > 750 && large < 850, "%d of 1000", large)
 }
+
+// Guards against a takeover from a live holder after a partition: the half of the fleet
+// that was cut off from the store gets the store back before the first heartbeats of the
+// other half. The callers of the role would wait for the takeover for nothing.
+func TestHealedPartitionTakesNoRoleFromLiveHolder(t *testing.T) {
+	f := newSimulatedFleet(t, 6)
+	f.advance(5 * time.Second)
+	before := f.holder()
+	assert.Assert(t, before != nil)
+	sides := [2][]*Machine{{before}}
+	for _, m := range f.hosts {
+		switch {
+		case m == before:
+		case len(sides[0]) < len(f.hosts)/2:
+			sides[0] = append(sides[0], m)
+		default:
+			sides[1] = append(sides[1], m)
+		}
+	}
+	const tick = 50 * time.Millisecond
+	// run lets the sides exchange heartbeats among themselves only.
+	run := func(d time.Duration, secondReachesStore bool) {
+		for end := f.now + d; f.now < end; f.now += tick {
+			for i, side := range sides {
+				reachesStore := i == 0 || secondReachesStore
+				for _, m := range side {
+					if reachesStore {
+						m.ApplyRows(f.now, f.now, f.store.allRows(), true)
+					}
+					for _, other := range side {
+						if other != m {
+							other.RecordHeartbeats(f.now, []Heartbeat{m.OwnHeartbeat(f.now)})
+						}
+					}
+					for _, w := range m.Tick(f.now) {
+						assert.Assert(t, reachesStore || f.now < m.LeaseUntil(), "a claim without the lease")
+						if reachesStore {
+							f.store.apply(w)
+						}
+						m.WriteDone(w.Key)
+					}
+				}
+			}
+		}
+	}
+	run(7*time.Second, false)
+	run(700*time.Millisecond, true)
+	f.advance(3 * time.Second)
+	assert.Assert(t, f.holder() == before, "the holder has lost the role")
+	// A holder that is lost while the others have the store is replaced as before.
+	f.isolated[before] = true
+	f.advance(6 * time.Second)
+	assert.Assert(t, f.holder() != nil && f.holder() != before)
+}
--- a/internal/ownership/rows.go
+++ b/internal/ownership/rows.go
@@ -52,6 +52,9 @@
 			undecoded = append(undecoded, c.Key)
 		}
 	}
+	if confirmed > 0 && now >= m.LeaseUntil() {
+		m.leaseSince = now
+	}
 	m.confirmedAt = max(m.confirmedAt, confirmed)
 	m.checkOwnRow()
 	return undecoded
