Send reads to the primary while replicas lag

A retry after such a refusal takes nothing from the budget, since the replica has run nothing and the primary is asked once at most.

Test: TestReadsUsePrimaryWhileReplicasLag fails without the change.

--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -470,3 +470,30 @@
 	assert.Assert(t, err != nil, "a session was accepted")
 	assert.NilError(t, <-done)
 }
+
+// Guards, for the load pattern of replicas that fall behind for seconds, against reads that
+// are refused although the primary is free, because asking the stale replicas has used up
+// the retry budget, and against reads that ask each stale replica first.
+func TestReadsUsePrimaryWhileReplicasLag(t *testing.T) {
+	x := newFixture(t)
+	x.sample(40)
+	x.fleet.answer = func(_ string, req *peerpb.ExecuteRequest) (*peerpb.ExecuteResponse, error) {
+		if !req.GetPrimary() {
+			return failureResponse(verdict.NotRun, verdict.NoFreshReplica), nil
+		}
+		return nil, nil
+	}
+	c := x.open("bounded")
+	const reads = 400
+	for range reads {
+		r := c.do(statement.Read, "READ a")
+		assert.Assert(t, r.Err == nil, "%v", r.Err)
+	}
+	atReplicas := 0
+	for _, call := range x.fleet.recordedCalls() {
+		if !call.req.GetPrimary() {
+			atReplicas++
+		}
+	}
+	assert.Assert(t, atReplicas < reads/2, "%d calls at replicas for %d reads", atReplicas, reads)
+}
--- a/internal/frontend/operation.go
+++ b/internal/frontend/operation.go
@@ -252,7 +252,9 @@
 				break
 			}
 		}
-		if !o.s.f.takeRetry() {
+		// A replica that is too stale has run nothing, and the primary is tried at last:
+		// such a retry does not multiply the load of a failing server.
+		if e.Reason != verdict.NoFreshReplica && !o.s.f.takeRetry() {
 			return nil, last
 		}
 		o.s.f.opt.Counters.CountRetry(e.Reason)
@@ -287,14 +289,15 @@
 // replica may take before another server is tried.
 const replicaAttemptShare = 0.8
 
-// nextCandidate returns the best server that the operation has not tried.
+// nextCandidate returns the best server that the operation has not tried. It leaves out
+// replicas that lag, so that the read goes to the primary at once.
 func (o *operation) nextCandidate() (routing.Candidate, bool) {
 	v := o.s.f.opt.Fleet.View(o.route.Group)
 	f := o.s.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range f.balancer.ReadCandidates(o.now(), v, false) {
-		if !o.triedServers[c.Server] {
+		if !o.triedServers[c.Server] && (c.Primary || !f.balancer.Lags(o.now(), c)) {
 			return c, true
 		}
 	}
--- a/internal/routing/balancer.go
+++ b/internal/routing/balancer.go
@@ -129,6 +129,13 @@
 	h.backoffUntil = now + b.backoff(h.failures)
 }
 
+// Lags reports whether a replica has refused so many consecutive reads as too stale that
+// the next one would probably only lose time there.
+func (b *Balancer) Lags(now time.Duration, c Candidate) bool {
+	h := b.health[newHealthKey(c)]
+	return h != nil && h.consecutiveStale >= maxConsecutiveStale && now < h.backoffUntil
+}
+
 // predictsServerFailure reports whether the reason predicts that the next
 // attempt at the same server fails, too. A full queue, for example, only
 // predicts failures for this customer.
