--- a/internal/host/heartbeats_test.go
+++ b/internal/host/heartbeats_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -47,7 +46,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		for _, l := range h.listeners {
-			_ = l.(net.Listener).Close()
+			_ = l.Close()
 		}
 		h.logWriter.Close()
 	})
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -95,7 +95,6 @@
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
-		grpc.WithSharedWriteBuffer(true),
 	}
 	if p.dial != nil {
 		options = append(options, grpc.WithContextDialer(p.dial))
@@ -143,6 +142,5 @@
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
-		grpc.SharedWriteBuffer(true),
 	}
 }
