--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -6,7 +6,10 @@
 	"net"
 	"regexp"
 	"sort"
+	"strconv"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
 // maxNameLength limits names, because they become part of the keys of rows and
@@ -131,6 +134,24 @@
 	return groups
 }
 
+// Upper limits of a backend server. Larger values are not those of a real server.
+const (
+	MaxSlots       = 10_000
+	MaxConnections = 1_000_000
+)
+
+// CheckAddress returns an error unless the address is a host and a port number.
+func CheckAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return errors.Errorf("%q is not an address", address)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return errors.Errorf("%q is not an address with a host and a port from 1 to 65535", address)
+	}
+	return nil
+}
+
 // minConnections is the smallest connection limit of a backend server:
 // ReservedConnections and one connection for statements.
 const minConnections = ReservedConnections + 1
@@ -138,15 +159,18 @@
 func (v *validator) checkServer(s Server, path string, servers, addresses nameSet) {
 	v.declare(servers, s.Name, path)
 	v.checkReference(v.zones, s.Zone, path+".zone")
-	if _, _, err := net.SplitHostPort(s.Address); err != nil {
-		v.src.report(path+".address", fmt.Sprintf("%q is not an address", s.Address), "IP:port")
+	if err := CheckAddress(s.Address); err != nil {
+		v.src.report(path+".address", err.Error(), "IP:port")
 	} else if first, duplicate := addresses.paths[s.Address]; duplicate {
 		v.src.report(path+".address", fmt.Sprintf("address %s is used twice", s.Address), "an address other than that of "+first)
 	} else {
 		addresses.paths[s.Address] = path
 	}
-	if s.Slots < 1 {
-		v.src.report(path+".slots", fmt.Sprintf("%d slots", s.Slots), "1 or more")
+	if s.Slots < 1 || s.Slots > MaxSlots {
+		v.src.report(path+".slots", fmt.Sprintf("%d slots", s.Slots), fmt.Sprintf("1 to %d", MaxSlots))
+	}
+	if s.Connections > MaxConnections {
+		v.src.report(path+".connections", fmt.Sprintf("%d connections", s.Connections), fmt.Sprintf("%d or less", MaxConnections))
 	}
 	if s.Connections < minConnections {
 		v.src.report(path+".connections", fmt.Sprintf("%d connections", s.Connections), fmt.Sprintf("%d or more, because %d are kept for monitoring", minConnections, ReservedConnections))
