--- a/internal/limit/limiter_test.go
+++ b/internal/limit/limiter_test.go
@@ -51,6 +51,13 @@
 	return m.Grant(ctx, req)
 }
 
+// makeUnreachable makes a host unreachable. Settlements may be under way.
+func (p *testPeers) makeUnreachable(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unreachable[address] = true
+}
+
 func newTestLimiters(t *testing.T, limit config.Limit, zones ...string) (map[string]*Limiter, *testPeers) {
 	t.Helper()
 	doc := &config.Document{Version: 1}
@@ -98,7 +105,7 @@
 // must keep its own share.
 func TestIsolatedZoneKeepsItsShare(t *testing.T) {
 	limiters, peers := newTestLimiters(t, config.Limit{Customer: "acme", Rate: 8, Burst: 8}, "a", "b")
-	peers.unreachable["b"] = true
+	peers.makeUnreachable("b")
 	for range 4 {
 		assert.NilError(t, limiters["a"].Admit(context.Background(), "acme"))
 	}
@@ -116,7 +123,7 @@
 		}
 	}
 	assert.ErrorContains(t, exhaust(), "is over its rate")
-	peers.unreachable["b"] = true
+	peers.makeUnreachable("b")
 	assert.ErrorContains(t, exhaust(), "zones that do not answer: 1")
 	assert.Assert(t, limiters["a"].opts.Counters.Get("tokens_unavailable") > 0)
 }
--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -104,6 +104,20 @@
 	confirmedAt time.Duration
 }
 
+// applyTo applies changes to the revisions of the rows that a host has.
+func applyTo(revisions map[string]Revision, rows []Change, full bool) {
+	if full {
+		clear(revisions)
+	}
+	for _, r := range rows {
+		if r.Removed {
+			delete(revisions, r.Key)
+		} else {
+			revisions[r.Key] = r.Revision
+		}
+	}
+}
+
 func startFollower(t *testing.T, s *fakeWatcher) *testFollower {
 	return startFollowerWith(t, s, func(*Follower) {})
 }
@@ -121,16 +135,7 @@
 	x.Apply = func(rows []Change, full bool, confirmed time.Duration) {
 		x.mu.Lock()
 		defer x.mu.Unlock()
-		if full {
-			clear(x.rows)
-		}
-		for _, r := range rows {
-			if r.Removed {
-				delete(x.rows, r.Key)
-			} else {
-				x.rows[r.Key] = r.Revision
-			}
-		}
+		applyTo(x.rows, rows, full)
 		x.confirmedAt = confirmed
 	}
 	configure(x.Follower)
--- a/internal/store/peerchanges_test.go
+++ b/internal/store/peerchanges_test.go
@@ -24,16 +24,7 @@
 	x := &appliedRows{rows: map[string]Revision{}}
 	x.Follower = &Follower{Space: "s", Clock: now, Log: &log.Logger{Level: log.PanicLevel}, Counters: telemetry.NewCounters()}
 	x.Apply = func(rows []Change, full bool, confirmed time.Duration) {
-		if full {
-			clear(x.rows)
-		}
-		for _, r := range rows {
-			if r.Removed {
-				delete(x.rows, r.Key)
-			} else {
-				x.rows[r.Key] = r.Revision
-			}
-		}
+		applyTo(x.rows, rows, full)
 		x.confirmedAt = confirmed
 	}
 	return x
