Keep one copy of the rounding of ages and of the check for overwritten rows

The last reading of the diff found that package host had written the rounding of package owner again, and that the host row had the check for overwritten rows of the role rows spelled out. Both are shared now; behaviour is the same.

--- a/internal/host/heartbeats.go
+++ b/internal/host/heartbeats.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/failover"
 	"github.com/cranberryhinge/cranberryhinge/internal/ownership"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
@@ -315,7 +316,7 @@
 	}
 	for _, s := range a.calls.knownStates(req.GetSync()) {
 		resp.Groups = append(resp.Groups, &peerpb.GroupState{
-			Group: s.Group, Epoch: s.Epoch, Primary: s.Primary, AgeUs: ceilMicroseconds(s.Age),
+			Group: s.Group, Epoch: s.Epoch, Primary: s.Primary, AgeUs: peer.CeilMicroseconds(s.Age),
 			Position: &peerpb.Token{Group: s.Group, Term: s.Position.Term, Position: s.Position.Number},
 		})
 	}
@@ -328,7 +329,7 @@
 	if rev, ok := revisions[space]; ok {
 		if changes, ok := f.ChangesSince(store.Revision(rev)); ok {
 			k := &peerpb.SpaceKnowledge{
-				Space: space, Revision: uint64(changes.Revision), AgeUs: ceilMicroseconds(changes.Age), Complete: true, Full: changes.Full,
+				Space: space, Revision: uint64(changes.Revision), AgeUs: peer.CeilMicroseconds(changes.Age), Complete: true, Full: changes.Full,
 			}
 			for _, r := range changes.Rows {
 				k.Changes = append(k.Changes, &peerpb.RowChange{Key: r.Key, Value: r.Value, Revision: uint64(r.Revision), Removed: r.Removed})
@@ -340,12 +341,7 @@
 	if !ok {
 		return nil
 	}
-	return &peerpb.SpaceKnowledge{Space: space, Digest: summary.Digest, Revision: uint64(summary.Revision), AgeUs: ceilMicroseconds(summary.Age)}
-}
-
-// ceilMicroseconds rounds an age up, so that it never looks younger than it is.
-func ceilMicroseconds(d time.Duration) int64 {
-	return int64((d + time.Microsecond - 1) / time.Microsecond)
+	return &peerpb.SpaceKnowledge{Space: space, Digest: summary.Digest, Revision: uint64(summary.Revision), AgeUs: peer.CeilMicroseconds(summary.Age)}
 }
 
 func beatsToProto(beats []ownership.Heartbeat) []*peerpb.Beat {
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/group"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
@@ -340,16 +341,11 @@
 		resp.AgeUs = (now - sample.At).Microseconds()
 	}
 	for _, s := range rep.Samples {
-		resp.Samples = append(resp.Samples, &peerpb.Sample{Term: s.Term, Position: s.Position, AgeUs: ceilMicroseconds(now - s.At)})
+		resp.Samples = append(resp.Samples, &peerpb.Sample{Term: s.Term, Position: s.Position, AgeUs: peer.CeilMicroseconds(now - s.At)})
 	}
 	return resp
 }
 
-// ceilMicroseconds rounds an age up, so that data never appears fresher than it is.
-func ceilMicroseconds(d time.Duration) int64 {
-	return int64((d + time.Microsecond - 1) / time.Microsecond)
-}
-
 // decodeReport decodes the response to a request that was sent at the time sent.
 func decodeReport(sent time.Duration, resp *peerpb.PositionResponse) group.Report {
 	rep := group.Report{
--- a/internal/ownership/claims.go
+++ b/internal/ownership/claims.go
@@ -54,8 +54,7 @@
 func (m *Machine) registerWrite() (Write, bool) {
 	r, ok := m.hosts[m.self.Name]
 	key := m.hostKey(m.self.Name)
-	_, overwritten := m.undecodedRows[key]
-	if m.leaving || ok && r.Host == m.self && !overwritten {
+	if m.leaving || ok && r.Host == m.self && !m.overwritten(key) {
 		return Write{}, false
 	}
 	w := Write{Key: key, Value: encode(m.self), Reason: "register"}
@@ -122,7 +121,7 @@
 		return Write{}, false
 	case m.epochRequested[name]:
 		return m.newRoleWrite(name, r, next, "new epoch"), true
-	case m.overwritten(name):
+	case m.overwritten(m.roleKey(name)):
 		return m.newRoleWrite(name, r, next, "row was overwritten"), true
 	case !r.NoTakeoverWait:
 		// The epoch stays the same. Hosts that read the row from now on see
@@ -133,10 +132,10 @@
 	return Write{}, false
 }
 
-// overwritten reports whether another program has overwritten the row of a role with one
-// that cannot be decoded.
-func (m *Machine) overwritten(name string) bool {
-	_, ok := m.undecodedRows[m.roleKey(name)]
+// overwritten reports whether another program has overwritten a row with one that cannot
+// be decoded.
+func (m *Machine) overwritten(key string) bool {
+	_, ok := m.undecodedRows[key]
 	return ok
 }
 
@@ -190,7 +189,7 @@
 	next := Role{
 		Holder: m.self.Name, Incarnation: m.self.Incarnation, Address: m.self.Address, Epoch: 1,
 		// The row that was overwritten may have named a holder that this host does not know.
-		NoTakeoverWait: noTakeoverWait && !m.overwritten(name),
+		NoTakeoverWait: noTakeoverWait && !m.overwritten(m.roleKey(name)),
 	}
 	if r != nil {
 		next.Epoch = r.Epoch + 1
--- a/internal/ownership/doc.go
+++ b/internal/ownership/doc.go
@@ -7,9 +7,9 @@
 // answer to a poll confirms that the host had every row at the time when the
 // poll was sent, and a relay passes the confirmation on with its age.
 // Confirmations act as the lease: a host may use its roles until LeaseTTL after
-// the time to which its last confirmation is dated. A host that takes over a role writes its name into the role's row
-// and then waits for LeaseTTL before it uses the role (the takeover wait). By
-// then the previous holder has either read the row or lost its lease. The wait
+// the time to which its last confirmation is dated. A host that takes over a
+// role writes its name into the role's row and then waits for LeaseTTL before it
+// uses the role (the takeover wait). By then the previous holder has either read the row or lost its lease. The wait
 // is skipped if the previous holder gave up the role itself, or if a new
 // process at the same address has replaced it. In the steady state nothing is
 // written.
