Report no success for a transaction that was rolled back

The statement was acknowledged, but its transaction was rolled back; the next statements and COMMIT ran in a new transaction and were acknowledged, too.

Cause: executor.(*call).run kept an open transaction only while the context of the call was alive. Otherwise it rolled back, and still returned the success without a handle. The entry host took a missing handle for "no statement has run yet" and sent BEGIN again. Within one process the answer arrives although the context has ended.

Change: a statement of an open transaction succeeds only if the transaction is kept. The entry host records that a transaction has started. Calls within the process are not cancelled any more, so that a late answer reaches the client and the transaction goes on.

--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -222,7 +222,9 @@
 }
 
 // run prepares the connection, runs the statement, and keeps the connection if a
-// transaction is open, or releases it.
+// transaction is open, or releases it. It returns an error for a statement of an open
+// transaction unless the transaction is kept, so that a success without a handle means
+// that none is open.
 func (c *call) run(tx *transaction, handle uint64) error {
 	inTx := handle != 0 || c.req.GetBeginText() != ""
 	result, err := c.runStatement(tx, inTx)
@@ -232,12 +234,23 @@
 	if result.Err != nil {
 		return c.statementFailed(tx, handle, inTx, result)
 	}
+	staysOpen := inTx && statement.Kind(c.req.GetKind()) != statement.Commit
+	if staysOpen != (result.State == statement.InTransaction) {
+		e := verdict.New(verdict.MayHaveRun, verdict.ProtocolViolation, "backend server %s reported an unexpected transaction state", tx.pool.server.Name)
+		return c.connFailed(tx, handle, inTx, e)
+	}
+	if staysOpen && c.ctx.Err() != nil {
+		// The caller would run the rest of the transaction in another one if the
+		// statement were reported as a success.
+		c.x.opt.Counters.Add("transactions_cancelled", 1)
+		return c.abort(tx, handle, verdict.New(verdict.NotRun, verdict.Cancelled, "the caller no longer waits for the answer"))
+	}
 	c.resp.Rows, c.resp.Signature = result.Rows, result.Signature
 	c.resp.Position = &peerpb.Token{Group: tx.pool.server.Group, Term: result.Position.Term, Position: result.Position.Number}
 	// Later statements do not check that the host may use the primary, so that their
 	// positions are not authoritative.
 	c.resp.Authoritative = tx.primary && handle == 0
-	if result.State == statement.InTransaction && c.ctx.Err() == nil {
+	if staysOpen {
 		tx.pool.yieldSlot(tx.requestID)
 		c.resp.Transaction = c.storeTransaction(tx, handle)
 		return nil
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -191,12 +191,16 @@
 }
 
 func (f *fixture) do(req *peerpb.ExecuteRequest) *peerpb.ExecuteResponse {
+	return f.doWithin(context.Background(), req)
+}
+
+func (f *fixture) doWithin(ctx context.Context, req *peerpb.ExecuteRequest) *peerpb.ExecuteResponse {
 	if req.Customer == "" {
 		req.Customer = "c"
 	}
 	req.Server, req.Group = "db", "g"
 	req.TimeoutUs, req.WaitUs = (2 * time.Second).Microseconds(), time.Second.Microseconds()
-	return f.x.Execute(context.Background(), req)
+	return f.x.Execute(ctx, req)
 }
 
 func read() *peerpb.ExecuteRequest {
@@ -271,6 +275,39 @@
 	f.wantFailure(f.do(next), verdict.NotRun, verdict.TransactionAborted)
 }
 
+// Guards against reporting the success of a statement whose transaction was rolled back,
+// because the caller's context ended while the statement ran: the caller would run the
+// rest of the transaction, and its COMMIT, in another one.
+func TestRolledBackTransactionIsNotReportedAsSuccess(t *testing.T) {
+	for _, statements := range []int{1, 2} {
+		f := newFixture(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		writes := 0
+		f.server.failWith = func(_ *fakeConn, cmd statement.Command) *verdict.Error {
+			if cmd.Kind == statement.Write {
+				if writes++; writes == statements {
+					cancel()
+				}
+			}
+			return nil
+		}
+		req := write()
+		req.BeginId, req.BeginText = "0", "BEGIN"
+		r := f.doWithin(ctx, req)
+		for range statements - 1 {
+			assert.Assert(t, r.GetTransaction() != 0)
+			next := write()
+			next.Transaction = r.GetTransaction()
+			r = f.doWithin(ctx, next)
+		}
+		f.wantFailure(r, verdict.NotRun, verdict.TransactionAborted)
+		assert.Equal(t, r.GetTransaction(), uint64(0))
+		assert.Equal(t, f.x.Transactions(), 0)
+		assert.Equal(t, f.server.commands[len(f.server.commands)-1], "1:rollback  map[]")
+	}
+}
+
 // Guards against a wrong verdict about a lost or failed statement: NotRun although it
 // may have run, or MayHaveRun although it certainly did not.
 func TestVerdictOfLostOrFailedStatement(t *testing.T) {
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -338,6 +338,25 @@
 	assert.Equal(t, x.limiter.admitted, 1)
 }
 
+// Guards against running the rest of a transaction in a new one: once a statement has
+// run, BEGIN is never sent again, also when the home host keeps no transaction.
+func TestTransactionIsNotBegunTwice(t *testing.T) {
+	for _, k := range []statement.Kind{statement.Write, statement.Commit} {
+		x := newFixture(t)
+		x.fleet.answer = func(_ string, req *peerpb.ExecuteRequest) (*peerpb.ExecuteResponse, error) {
+			if statement.Kind(req.GetKind()) != statement.Write {
+				return nil, nil
+			}
+			return &peerpb.ExecuteResponse{Signature: "sig", Position: &peerpb.Token{Term: 1, Position: 50}}, nil
+		}
+		c := x.open("current")
+		assert.Assert(t, c.do(statement.Begin, "BEGIN").Err == nil)
+		wantErr(t, c.do(statement.Write, "WRITE a b"), verdict.MayHaveRun, verdict.ProtocolViolation)
+		assert.Assert(t, c.do(k, "x").Err != nil)
+		assert.Equal(t, len(x.fleet.recordedCalls()), 1)
+	}
+}
+
 // Guards against reporting that COMMIT ran, or that it did not, when its answer was
 // lost.
 func TestLostCommitMayHaveRun(t *testing.T) {
--- a/internal/frontend/operation.go
+++ b/internal/frontend/operation.go
@@ -116,7 +116,7 @@
 }
 
 func (o *operation) execute() (*peerpb.ExecuteResponse, error) {
-	if o.tx != nil && o.tx.handle != 0 {
+	if o.tx != nil && o.tx.started {
 		return o.continueTransaction()
 	}
 	if o.tx != nil {
@@ -152,6 +152,9 @@
 
 // continueTransaction sends a statement to the home host of the open transaction.
 func (o *operation) continueTransaction() (*peerpb.ExecuteResponse, error) {
+	if o.tx.handle == 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.TransactionAborted, "the transaction has ended")
+	}
 	req := o.newRequest()
 	req.Transaction = o.tx.handle
 	resp, err := o.callHost(o.tx.host, req, o.deadline)
@@ -329,7 +332,7 @@
 	if o.st.Kind == statement.Execute {
 		req.Arguments, req.ShapeWrites, req.Shape = o.st.Arguments, o.st.Shape.Writes, o.st.Shape.Text
 	}
-	if o.tx != nil && o.tx.handle == 0 {
+	if o.tx != nil && !o.tx.started {
 		req.BeginId, req.BeginText = o.tx.begin.ID, o.tx.begin.Text
 		req.BeginReads = o.tx.begin.Kind == statement.BeginRead
 	}
@@ -371,7 +374,10 @@
 		o.s.f.Observe(o.route.Group, sent, statement.Position{Term: p.GetTerm(), Number: p.GetPosition()})
 	}
 	if o.tx != nil {
-		o.tx.host, o.tx.handle = host, resp.GetTransaction()
+		if resp.GetTransaction() == 0 && o.st.Kind != statement.Commit {
+			return nil, verdict.New(verdict.MayHaveRun, verdict.ProtocolViolation, "host %s kept no transaction", host.Name)
+		}
+		o.tx.host, o.tx.handle, o.tx.started = host, resp.GetTransaction(), true
 	}
 	return resp, nil
 }
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -46,8 +46,11 @@
 	// lastUsed is when the result of BEGIN or of the last statement was sent. Before
 	// that it is the arrival time of BEGIN.
 	lastUsed time.Duration
-	// host and handle identify the transaction at its home host. They are set once a
-	// statement has run.
+	// started is set once a statement has run. From then on BEGIN must not be sent
+	// again.
+	started bool
+	// host and handle identify the transaction at its home host once it has started.
+	// handle is 0 after the transaction has ended there.
 	host   routing.Host
 	handle uint64
 	// failed is set when the transaction was rolled back after an error. Only COMMIT
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -56,7 +56,9 @@
 func (c *peerCalls) Execute(ctx context.Context, h routing.Host, req *peerpb.ExecuteRequest) (*peerpb.ExecuteResponse, error) {
 	self := c.directory.self
 	if h.Name == self.Name {
-		return c.executor.Execute(ctx, req), nil
+		// The caller always receives an answer of its own process, also one that is
+		// late because the process was paused. The request's timeout bounds the call.
+		return c.executor.Execute(context.WithoutCancel(ctx), req), nil
 	}
 	if !c.directory.ownership.Alive(h.Name) {
 		return nil, verdict.New(verdict.NotRun, verdict.HomeUnreachable, "no recent heartbeat from host %s", h.Name)
