Promote the replica that certainly has the acknowledged commits

When the primary crashed, the replica that had received nothing was promoted, and hundreds of acknowledged commits were rolled back, also with sync_replicas 1.

Cause: replaceFailedPrimary promoted the most advanced of the replicas whose answers had arrived at the next tick, 25 ms after the polls. The up-to-date replica answers later, because reads hold its slots and connections; a server that answered BUSY or TOOMANY was taken as absent. sync_replicas was decoded and used nowhere.

Change: the replicas are polled from the first failed poll of the primary on. A replica with the last position of the primary is promoted at once; otherwise the choice waits for all that may be more advanced, up to 600 ms. A busy server counts with the position that it was known to have. In a group with synchronous replicas the choice has no time limit: it waits for a server that certainly has every acknowledged commit, and until the role of the last owner has lapsed. Survey, catch-up and planned replacement choose in the same way. Commits that are acknowledged while the primary is replaced raise the last position. The log has "candidates" and "promotion waits".

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -27,6 +27,9 @@
 	// ColdRate is the number of requests per second that a server accepts while
 	// it is cold, that is, while it warms up; 0 for no limit.
 	ColdRate float64
+	// SyncReplicas is the number of replicas that have received a commit when the
+	// primary acknowledges it; 0 if it does not wait for replicas.
+	SyncReplicas int
 }
 
 // Server is a registered backend server.
@@ -119,6 +122,12 @@
 // Group returns the registered servers of a group, sorted by name.
 func (s *Snapshot) Group(name string) []Server { return s.groups[name] }
 
+// SyncReplicas returns the number of synchronous replicas of a group.
+func (s *Snapshot) SyncReplicas(group string) int {
+	g, _ := s.groupSettings(group)
+	return g.SyncReplicas
+}
+
 // GroupNames returns the names of the configured groups.
 func (s *Snapshot) GroupNames() []string {
 	if s.Configuration == nil {
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -18,11 +18,8 @@
 	// refusedTimeout replaces suspectTimeout for a primary that refuses connections.
 	refusedTimeout = 500 * time.Millisecond
 	// surveyTimeout is the time to wait for the answers of all servers before one
-	// of them is chosen, and the maximum age of the reports used for the choice.
+	// that reports that it is the primary is confirmed.
 	surveyTimeout = 250 * time.Millisecond
-	// surveyRetryDelay is the delay, after suspectTimeout, before a survey without a
-	// result is repeated.
-	surveyRetryDelay = 300 * time.Millisecond
 	// catchUpTimeout is the time for which a planned replacement waits until its
 	// replica has all commits. New writes wait during this time.
 	catchUpTimeout = 300 * time.Millisecond
@@ -44,10 +41,23 @@
 // Member is the registry entry of a server of the group.
 type Member struct {
 	Name string
+	// Incarnation distinguishes successive servers of the same name.
+	Incarnation int64
 	// Usable is set if the server may get new work.
 	Usable bool
 	// ZoneOut is set if the server's zone is out of service.
 	ZoneOut bool
+	// ReportsPrimary is set if the server has registered itself as the primary.
+	ReportsPrimary bool
+}
+
+// Group is what the machine has to know about its group.
+type Group struct {
+	Members []Member
+	// SyncReplicas is the number of replicas that have received a commit when the
+	// primary acknowledges it. If it is not 0, no server is promoted that may lack an
+	// acknowledged commit.
+	SyncReplicas int
 }
 
 // Action is an operation that the caller of Tick must perform.
@@ -113,36 +123,56 @@
 	epoch         uint64
 	phase         Phase
 	phaseSince    time.Duration
-	members       []Member
+	group         Group
 	reports       map[string]serverReport
+	contacts      map[string]*serverContact
 	pollsInFlight map[string]time.Duration
 	backoffUntil  map[string]time.Duration
+	// usableSince is the time since which this host may use the group's role, 0 while
+	// it may not.
+	usableSince time.Duration
+	// searchSince is the time since which a successor of the primary has been searched.
+	// Only reports to polls sent since then are used for the choice.
+	searchSince time.Duration
 
 	primary string
+	// replicas are the servers that may hold commits which the primary has acknowledged,
+	// departedPosition the last commit of the primary when one of them was first found
+	// not to be registered.
+	replicas         []string
+	departedPosition statement.Position
 	// target is the server to promote, orderedEpoch the epoch of the last order.
 	target       string
 	orderedEpoch uint64
 	// lastContactAt is the time of the newest evidence that the primary is alive:
 	// when its report that it is the primary arrived, or when a later statement or poll
 	// that it answered was sent. lastPosition is its newest known position.
-	lastContactAt time.Duration
-	lastPosition  statement.Position
-	failedPolls   int
-	refusedPolls  int
+	// positionCurrent is set if that includes every commit that was acknowledged.
+	lastContactAt   time.Duration
+	lastPosition    statement.Position
+	positionCurrent bool
+	failedPolls     int
+	refusedPolls    int
 	// planned is set while a working primary is being replaced.
 	planned bool
 	// unusableSince is the time at which the primary was first found not to be
 	// usable for new work, 0 while it is usable.
 	unusableSince time.Duration
 	nextOrderAt   time.Duration
-	// PhaseReason is the reason for the last change of phase. It is logged.
-	PhaseReason string
-	actions     []Action
+	// PhaseReason is the reason for the last change of phase, Candidates what was known
+	// of each server when target was chosen. They are logged.
+	PhaseReason, Candidates string
+	// WaitReason is the reason why a lost primary is not replaced yet. It is logged.
+	WaitReason string
+	actions    []Action
 }
 
 // NewMachine returns a Machine in the phase Idle.
 func NewMachine() *Machine {
-	return &Machine{reports: map[string]serverReport{}, pollsInFlight: map[string]time.Duration{}, backoffUntil: map[string]time.Duration{}}
+	return &Machine{
+		reports: map[string]serverReport{}, contacts: map[string]*serverContact{},
+		pollsInFlight: map[string]time.Duration{}, backoffUntil: map[string]time.Duration{},
+	}
 }
 
 // Phase returns the current phase.
@@ -176,17 +206,26 @@
 		m.planned = false
 	}
 	m.phase, m.phaseSince, m.PhaseReason = p, now, reason
+	m.searchSince, m.WaitReason = 0, ""
 }
 
 // Tick advances the machine to the time now and returns the actions to perform.
-// epoch is the epoch of the group's role if this host may use it, otherwise 0. The
-// returned slice is valid until the next call.
-func (m *Machine) Tick(now time.Duration, epoch uint64, members []Member) []Action {
+// epoch is the epoch of the group's role if it is assigned to this host, otherwise 0,
+// and usable reports whether this host may use the role already. The returned slice is
+// valid until the next call.
+func (m *Machine) Tick(now time.Duration, epoch uint64, usable bool, group Group) []Action {
 	m.actions = m.actions[:0]
-	m.members = members
+	m.group = group
+	m.forgetRestarted()
 	if epoch != m.epoch {
 		m.epochChanged(now, epoch)
 	}
+	switch {
+	case !usable:
+		m.usableSince, m.positionCurrent = 0, false
+	case m.usableSince == 0:
+		m.usableSince = now
+	}
 	switch m.phase {
 	case Surveying:
 		m.survey(now)
@@ -208,21 +247,23 @@
 // the order that waited for it, or surveys the servers.
 func (m *Machine) epochChanged(now time.Duration, epoch uint64) {
 	m.epoch = epoch
-	switch {
-	case epoch == 0:
-		m.enterPhase(now, Idle, "role lost")
-		clear(m.reports)
-	case m.phase == WaitingForEpoch && m.target != "":
+	if epoch != 0 && m.phase == WaitingForEpoch && m.target != "" {
 		m.enterPhase(now, Ordering, m.PhaseReason)
 		m.nextOrderAt = now
-	default:
-		clear(m.reports)
+		return
+	}
+	// Another host may promote a server, or may have done so.
+	m.primary, m.replicas, m.usableSince, m.positionCurrent = "", nil, 0, false
+	clear(m.reports)
+	if epoch == 0 {
+		m.enterPhase(now, Idle, "role lost")
+	} else {
 		m.enterPhase(now, Surveying, "role gained")
 	}
 }
 
 func (m *Machine) member(name string) (Member, bool) {
-	for _, x := range m.members {
+	for _, x := range m.group.Members {
 		if x.Name == name {
 			return x, true
 		}
@@ -235,36 +276,34 @@
 	if _, inFlight := m.pollsInFlight[server]; inFlight {
 		return
 	}
-	m.pollsInFlight[server] = now
+	m.pollsInFlight[server], m.contact(server).polledAt = now, now
 	m.actions = append(m.actions, Poll{Server: server})
 }
 
 // survey polls all servers and chooses one: the primary of the highest term if it
-// answers, otherwise the most advanced replica.
+// answers, otherwise the successor of a lost primary.
 func (m *Machine) survey(now time.Duration) {
+	if m.searchSince == 0 && (m.group.SyncReplicas == 0 || m.usableSince != 0) {
+		m.searchSince = now
+	}
+	m.pollCandidates(now)
 	answered := 0
-	for _, x := range m.members {
+	for _, x := range m.group.Members {
 		if r, ok := m.reports[x.Name]; ok && r.pollSentAt >= m.phaseSince {
 			answered++
-		} else {
-			m.pollServer(now, x.Name)
 		}
 	}
-	if p, ok := m.reportedPrimary(); ok && (answered == len(m.members) || now-m.phaseSince >= surveyTimeout) {
+	if p, ok := m.reportedPrimary(); ok && (answered == len(m.group.Members) || now-m.phaseSince >= surveyTimeout) {
 		m.startPromotion(now, p, "primary confirmed")
 		return
 	}
 	// Wait as long for a primary that does not answer as before a known primary is
 	// suspected.
-	if now-m.phaseSince < suspectTimeout || len(m.members) == 0 {
+	if now-m.phaseSince < suspectTimeout {
 		return
 	}
-	if best, ok := m.mostAdvanced(now, "", m.polledInPhase); ok {
+	if best, ok := m.successor(now, ""); ok {
 		m.startPromotion(now, best, "no primary answers")
-		return
-	}
-	if now-m.phaseSince >= suspectTimeout+surveyRetryDelay {
-		m.enterPhase(now, Surveying, "no server can be promoted")
 	}
 }
 
@@ -272,7 +311,7 @@
 // the highest term if there are several.
 func (m *Machine) reportedPrimary() (string, bool) {
 	best, term := "", uint64(0)
-	for _, x := range m.members {
+	for _, x := range m.group.Members {
 		r, ok := m.reports[x.Name]
 		if ok && r.pollSentAt >= m.phaseSince && r.status.Primary && r.status.Position.Term >= term {
 			best, term = x.Name, r.status.Position.Term
@@ -281,27 +320,6 @@
 	return best, best != ""
 }
 
-// polledInPhase reports whether the poll that returned the report was sent in the
-// current phase.
-func (m *Machine) polledInPhase(r serverReport) bool { return r.pollSentAt >= m.phaseSince }
-
-// mostAdvanced returns the server with the highest position among the eligible ones
-// with a recent report. The server except is excluded.
-func (m *Machine) mostAdvanced(now time.Duration, except string, recent func(serverReport) bool) (string, bool) {
-	best := ""
-	var bestPosition statement.Position
-	for _, x := range m.members {
-		r, ok := m.reports[x.Name]
-		if !ok || !m.isEligible(now, x, except) || !recent(r) {
-			continue
-		}
-		if best == "" || bestPosition.Less(r.status.Position) {
-			best, bestPosition = x.Name, r.status.Position
-		}
-	}
-	return best, best != ""
-}
-
 // isEligible reports whether a server may be promoted. The server except is excluded.
 func (m *Machine) isEligible(now time.Duration, x Member, except string) bool {
 	return x.Usable && x.Name != except && now >= m.backoffUntil[x.Name]
@@ -311,7 +329,7 @@
 // the current epoch, it requests a new epoch first, because one token must not be
 // used for two servers.
 func (m *Machine) startPromotion(now time.Duration, server, reason string) {
-	m.target, m.nextOrderAt = server, now
+	m.target, m.nextOrderAt, m.Candidates = server, now, m.candidates()
 	if m.orderedEpoch == m.epoch {
 		m.enterPhase(now, WaitingForEpoch, reason)
 		m.actions = append(m.actions, NextEpoch{})
@@ -355,6 +373,12 @@
 	if r, ok := m.reports[m.target]; ok && r.pollSentAt >= m.phaseSince && r.status.Primary {
 		m.primary, m.lastContactAt, m.failedPolls, m.refusedPolls = m.target, r.receivedAt, 0, 0
 		m.lastPosition, m.unusableSince = r.status.Position, 0
+		m.positionCurrent = m.usableSince != 0 && r.pollSentAt >= m.usableSince
+		for _, c := range m.contacts {
+			c.floor = statement.Position{} // a replica that was ahead is rolled back
+		}
+		m.replicas, m.departedPosition = nil, statement.Position{}
+		m.recordReplicas(now)
 		m.enterPhase(now, Leading, m.PhaseReason)
 		return
 	}
@@ -383,23 +407,23 @@
 	silence := now - m.lastContactAt
 	if silence >= idlePollDelay {
 		m.pollServer(now, m.primary)
+	} else {
+		m.recordReplicas(now)
 	}
-	if silence >= suspectTimeout && m.failedPolls >= 2 || silence >= refusedTimeout && m.refusedPolls >= 2 {
-		m.replaceFailedPrimary(now)
+	if m.failedPolls == 0 {
+		m.searchSince, m.WaitReason = 0, ""
+		return
 	}
-}
-
-// replaceFailedPrimary promotes the most advanced replica instead of a suspected
-// primary. If no replica answers, the primary is kept.
-func (m *Machine) replaceFailedPrimary(now time.Duration) {
-	recent := func(r serverReport) bool { return r.receivedAt >= now-surveyTimeout }
-	for _, x := range m.members {
-		if r, ok := m.reports[x.Name]; m.isEligible(now, x, m.primary) && (!ok || !recent(r)) {
-			m.pollServer(now, x.Name)
-		}
+	// The replicas are asked before the primary is suspected, so that the choice
+	// seldom has to wait for them.
+	if m.searchSince == 0 {
+		m.searchSince = now
 	}
-	if best, ok := m.mostAdvanced(now, m.primary, recent); ok {
-		m.startPromotion(now, best, "primary does not answer")
+	m.pollCandidates(now)
+	if silence >= suspectTimeout && m.failedPolls >= 2 || silence >= refusedTimeout && m.refusedPolls >= 2 {
+		if best, ok := m.successor(now, m.primary); ok {
+			m.startPromotion(now, best, "primary does not answer")
+		}
 	}
 }
 
@@ -407,6 +431,7 @@
 // if the primary may still be used until another server is eligible.
 func (m *Machine) replaceLeavingPrimary(now time.Duration, mayServe bool) {
 	m.enterPhase(now, CatchingUp, "primary leaves")
+	m.searchSince = now
 	m.planned = mayServe || m.successorCount(now) > 0
 	m.catchUp(now)
 	if m.phase == CatchingUp && m.successorCount(now) == 0 {
@@ -421,7 +446,7 @@
 // successorCount returns the number of servers that may replace the primary.
 func (m *Machine) successorCount(now time.Duration) int {
 	n := 0
-	for _, x := range m.members {
+	for _, x := range m.group.Members {
 		if m.isEligible(now, x, m.primary) {
 			n++
 		}
@@ -432,17 +457,19 @@
 // catchUp promotes the most advanced replica when it has all commits, or when
 // catchUpTimeout has passed.
 func (m *Machine) catchUp(now time.Duration) {
-	for _, x := range m.members {
-		if r, ok := m.reports[x.Name]; x.Usable && (!ok || now-r.pollSentAt >= promotedPollInterval) {
+	for _, x := range m.group.Members {
+		if x.Usable && now-m.contact(x.Name).polledAt >= promotedPollInterval {
 			m.pollServer(now, x.Name)
 		}
 	}
-	best, ok := m.mostAdvanced(now, m.primary, m.polledInPhase)
-	if !ok {
+	best, p := m.mostAdvanced(now, m.primary, false)
+	switch {
+	case best == "":
 		return
-	}
-	if now-m.phaseSince >= catchUpTimeout || !m.reports[best].status.Position.Less(m.lastPosition) {
+	case !p.Less(m.lastPosition), m.group.SyncReplicas == 0 && now-m.phaseSince >= catchUpTimeout:
 		m.startPromotion(now, best, "primary leaves")
+	case now-m.phaseSince >= promotionTimeout:
+		m.enterPhase(now, Surveying, "no replica has all commits")
 	}
 }
 
@@ -451,6 +478,9 @@
 func (m *Machine) OnPollResult(now, sent time.Duration, server string, status statement.Status, err error, refused bool) {
 	delete(m.pollsInFlight, server)
 	if err != nil {
+		if refused {
+			m.contact(server).refusedAt = sent
+		}
 		if server == m.primary && m.phase == Leading {
 			m.failedPolls++
 			if refused {
@@ -460,25 +490,39 @@
 		return
 	}
 	m.reports[server] = serverReport{status: status, pollSentAt: sent, receivedAt: now}
-	if server != m.primary || m.phase != Leading {
-		return
-	}
-	if !status.Primary {
+	if server == m.primary && m.phase == Leading && !status.Primary {
 		m.enterPhase(now, Surveying, "the primary has lost the lead")
 		return
 	}
 	m.RecordAnswer(sent, server, status.Position)
 }
 
+// OnServerBusy processes the result of a poll that the server answered without a
+// report, because it had no free slot or connection. Such a server is alive.
+func (m *Machine) OnServerBusy(sent time.Duration, server string) {
+	delete(m.pollsInFlight, server)
+	m.contact(server).busyAt = sent
+	m.RecordAnswer(sent, server, statement.Position{})
+}
+
 // RecordAnswer records that the server answered a statement or poll sent at the
-// time sent.
+// time sent. The position counts in every phase, because commits of open transactions
+// are acknowledged while the primary is replaced.
 func (m *Machine) RecordAnswer(sent time.Duration, server string, p statement.Position) {
-	if server != m.primary || m.phase != Leading {
+	if server != m.primary {
+		c := m.contact(server)
+		c.floor = statement.Max(c.floor, p)
 		return
 	}
-	m.lastContactAt = max(m.lastContactAt, sent)
 	m.lastPosition = statement.Max(m.lastPosition, p)
+	if m.phase != Leading {
+		return
+	}
+	m.lastContactAt = max(m.lastContactAt, sent)
 	m.failedPolls, m.refusedPolls = 0, 0
+	if m.usableSince != 0 && sent >= m.usableSince && !p.IsZero() {
+		m.positionCurrent = true
+	}
 }
 
 // RecordNotPrimary records that a statement failed because the server was not the
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -17,9 +17,17 @@
 	m       *Machine
 	now     time.Duration
 	epoch   uint64
+	usable  bool
 	members []Member
-	status  map[string]statement.Status
-	down    map[string]bool
+	// syncReplicas is the number of synchronous replicas.
+	syncReplicas int
+	status       map[string]statement.Status
+	down         map[string]bool
+	// answerDelay is the time that a server takes to answer a poll. A server answers as
+	// many polls with "busy" as busyAnswers says.
+	answerDelay map[string]time.Duration
+	busyAnswers map[string]int
+	pendingPoll []pendingPoll
 	// highestToken is the highest token of an accepted order. While dropOrders is
 	// set, orders are kept in droppedOrders and not executed.
 	highestToken  uint64
@@ -32,10 +40,19 @@
 	tokens     map[uint64]string
 }
 
+// pendingPoll is a poll that the server has not answered yet.
+type pendingPoll struct {
+	server       string
+	sent, answer time.Duration
+}
+
 func newFakeCluster(t *testing.T) *fakeCluster {
-	c := &fakeCluster{t: t, m: NewMachine(), now: time.Minute, epoch: 1, status: map[string]statement.Status{}, down: map[string]bool{}, tokens: map[uint64]string{}}
+	c := &fakeCluster{
+		t: t, m: NewMachine(), now: time.Minute, epoch: 1, usable: true, status: map[string]statement.Status{}, down: map[string]bool{},
+		answerDelay: map[string]time.Duration{}, busyAnswers: map[string]int{}, tokens: map[uint64]string{},
+	}
 	for _, n := range []string{"a", "b", "c"} {
-		c.members = append(c.members, Member{Name: n, Usable: true})
+		c.members = append(c.members, Member{Name: n, Usable: true, ReportsPrimary: n == "a"})
 		c.status[n] = statement.Status{Primary: n == "a", Term: 1, Position: statement.Position{Term: 1, Number: 10}}
 	}
 	return c
@@ -47,12 +64,44 @@
 			c.makePrimary(c.promoting)
 			c.promoting = ""
 		}
-		for _, a := range append([]Action(nil), c.m.Tick(c.now, c.epoch, c.members)...) {
+		c.answerPolls()
+		for _, a := range append([]Action(nil), c.m.Tick(c.now, c.epoch, c.usable, Group{Members: c.members, SyncReplicas: c.syncReplicas})...) {
 			c.performAction(a)
 		}
 	}
 }
 
+func (c *fakeCluster) answerPolls() {
+	var later []pendingPoll
+	for _, p := range c.pendingPoll {
+		if p.answer > c.now {
+			later = append(later, p)
+			continue
+		}
+		c.answerPoll(p.sent, p.server)
+	}
+	c.pendingPoll = later
+}
+
+func (c *fakeCluster) answerPoll(sent time.Duration, server string) {
+	switch {
+	case c.down[server]:
+		c.m.OnPollResult(c.now, sent, server, statement.Status{}, errors.New("down"), false)
+	case c.busyAnswers[server] > 0:
+		c.busyAnswers[server]--
+		c.m.OnServerBusy(sent, server)
+	default:
+		c.m.OnPollResult(c.now, sent, server, c.status[server], nil, false)
+	}
+}
+
+// advance sets the position of a server in its term.
+func (c *fakeCluster) advance(server string, number uint64) {
+	s := c.status[server]
+	s.Position.Number = number
+	c.status[server] = s
+}
+
 func (c *fakeCluster) makePrimary(server string) {
 	term := uint64(0)
 	for n, s := range c.status {
@@ -66,11 +115,11 @@
 func (c *fakeCluster) performAction(a Action) {
 	switch a := a.(type) {
 	case Poll:
-		if c.down[a.Server] {
-			c.m.OnPollResult(c.now, c.now, a.Server, statement.Status{}, errors.New("down"), false)
+		if d := c.answerDelay[a.Server]; d > 0 {
+			c.pendingPoll = append(c.pendingPoll, pendingPoll{a.Server, c.now, c.now + d})
 			return
 		}
-		c.m.OnPollResult(c.now, c.now, a.Server, c.status[a.Server], nil, false)
+		c.answerPoll(c.now, a.Server)
 	case NextEpoch:
 		c.epoch++
 	case Promote:
@@ -122,9 +171,7 @@
 	c := newFakeCluster(t)
 	c.run(time.Second)
 	c.down["a"] = true
-	s := c.status["c"]
-	s.Position.Number = 12
-	c.status["c"] = s
+	c.advance("c", 12)
 	c.run(4 * time.Second)
 	assert.Equal(t, c.primary(), "c")
 }
--- a/internal/failover/shell.go
+++ b/internal/failover/shell.go
@@ -66,7 +66,7 @@
 // Directory provides the groups and their servers.
 type Directory interface {
 	GroupNames() []string
-	Members(group string) []Member
+	Group(name string) Group
 	// Target returns the connection target of a server, and false if the server is
 	// not registered.
 	Target(server string) (statement.Target, bool)
@@ -103,6 +103,7 @@
 type groupState struct {
 	machine     *Machine
 	loggedPhase Phase
+	loggedWait  string
 	phaseSince  time.Duration
 	// primaryLostAt is the time since which this host has had no primary for the
 	// group.
@@ -153,6 +154,7 @@
 // stepGroup ticks the machine of one group and performs its actions.
 func (s *Shell) stepGroup(ctx context.Context, name string) {
 	epoch, _ := s.opt.Roles.AssignedEpoch(Role(name))
+	_, usable := s.opt.Roles.UsableEpoch(Role(name))
 	now := s.opt.Clock()
 	s.mu.Lock()
 	g := s.stateOf(name)
@@ -160,7 +162,7 @@
 		s.mu.Unlock()
 		return
 	}
-	actions := append([]Action(nil), g.machine.Tick(now, epoch, s.opt.Directory.Members(name))...)
+	actions := append([]Action(nil), g.machine.Tick(now, epoch, usable, s.opt.Directory.Group(name))...)
 	s.logPhaseChange(now, name, g)
 	s.mu.Unlock()
 	for _, a := range actions {
@@ -179,13 +181,25 @@
 // wait for one. The caller holds the lock.
 func (s *Shell) logPhaseChange(now time.Duration, name string, g *groupState) {
 	p := g.machine.Phase()
+	if w := g.machine.WaitReason; w != g.loggedWait {
+		if w != "" {
+			s.opt.Log.Info().Str("group", name).Str("why", w).Str("candidates", g.machine.candidates()).
+				Int("sync_replicas", g.machine.group.SyncReplicas).Msg("promotion waits")
+			s.opt.Counters.Add("promotions_delayed", 1)
+		}
+		g.loggedWait = w
+	}
 	if p == g.loggedPhase {
 		return
 	}
+	candidates := ""
+	if p == Ordering || p == WaitingForEpoch {
+		candidates = g.machine.Candidates
+	}
 	s.opt.Log.Info().Str("group", name).Str("from", g.loggedPhase.String()).Str("to", p.String()).
 		Dur("after", now-g.phaseSince).Uint64("epoch", g.machine.epoch).Str("primary", g.machine.primary).
 		Str("target", g.machine.target).Uint64("term", g.machine.lastPosition.Term).
-		Uint64("number", g.machine.lastPosition.Number).Str("why", g.machine.PhaseReason).Msg("group supervision")
+		Uint64("number", g.machine.lastPosition.Number).Str("why", g.machine.PhaseReason).Str("candidates", candidates).Msg("group supervision")
 	s.opt.Counters.Add("failover_"+p.String(), 1)
 	s.recordPhaseLatency(now, g, p)
 	g.loggedPhase, g.phaseSince = p, now
@@ -220,10 +234,8 @@
 	now := s.opt.Clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil && verdict.From(err).Reason == verdict.ServerBusy {
-		// A server that is too busy to report its status is alive.
-		delete(g.machine.pollsInFlight, server)
-		g.machine.RecordAnswer(sent, server, statement.Position{})
+	if err != nil && isBusy(err) {
+		g.machine.OnServerBusy(sent, server)
 		return
 	}
 	if err != nil {
@@ -236,6 +248,12 @@
 	s.logPhaseChange(now, name, g)
 }
 
+// isBusy reports whether a server has answered that it has no free slot or connection.
+func isBusy(err error) bool {
+	r := verdict.From(err).Reason
+	return r == verdict.ServerBusy || r == verdict.ConnectionLimit
+}
+
 // queryStatus queries the status of a server on a monitoring connection, which it
 // keeps for the next poll unless the query failed.
 func (s *Shell) queryStatus(ctx context.Context, g *groupState, server string) (statement.Status, error) {
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -119,16 +119,17 @@
 // GroupNames implements failover.Directory.
 func (d *directory) GroupNames() []string { return d.snapshot().GroupNames() }
 
-// Members implements failover.Directory.
-func (d *directory) Members(group string) []failover.Member {
+// Group implements failover.Directory.
+func (d *directory) Group(name string) failover.Group {
 	s := d.snapshot()
-	var out []failover.Member
-	for _, srv := range s.Group(group) {
-		out = append(out, failover.Member{
-			Name: srv.Name, Usable: srv.Usable(s.ZonesOut), ZoneOut: slices.Contains(s.ZonesOut, srv.Zone),
+	g := failover.Group{SyncReplicas: s.SyncReplicas(name)}
+	for _, srv := range s.Group(name) {
+		g.Members = append(g.Members, failover.Member{
+			Name: srv.Name, Incarnation: srv.Incarnation, ReportsPrimary: srv.ReportsPrimary,
+			Usable: srv.Usable(s.ZonesOut), ZoneOut: slices.Contains(s.ZonesOut, srv.Zone),
 		})
 	}
-	return out
+	return g
 }
 
 // Target implements failover.Directory.
