Confirm commits of groups with synchronous replicas during a replacement

While a primary is replaced, commits of open transactions and statements under way go on to the old one until it loses the lead. A commit that it acknowledged after its successor had been chosen was passed on to the client, also if the successor lacked it; so was one that was answered after the owner's role had lapsed.

Change: the executor passes a commit on only if the owner of the group confirms that it is kept: the primary is still in use, or the server that is being promoted has received it. Otherwise the outcome is reported as unknown. Nothing changes in groups without synchronous replicas.

Evidence: TestUnconfirmedCommitMayHaveRun fails without the change ("r.GetFailure() is nil"); TestCommitDuringReplacementIsConfirmed and TestCommitIsNotConfirmedWithoutRole show the decision.

--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -245,23 +245,37 @@
 		c.x.opt.Counters.Add("transactions_cancelled", 1)
 		return c.abort(tx, handle, verdict.New(verdict.NotRun, verdict.Cancelled, "the caller no longer waits for the answer"))
 	}
+	if staysOpen {
+		tx.pool.yieldSlot(tx.requestID)
+		c.resp.Transaction = c.storeTransaction(tx, handle)
+	} else {
+		if handle != 0 {
+			c.removeTransaction(handle)
+		}
+		c.release(tx, result.State)
+		if tx.primary && c.isCommit() && !c.x.opt.Authority.ConfirmCommit(c.ctx, tx.pool.server.Group, tx.pool.server.Name, result.Position, c.deadline-c.x.opt.Clock()) {
+			return verdict.New(verdict.MayHaveRun, verdict.AuthorityLost, "the primary of group %q was replaced during the commit", tx.pool.server.Group)
+		}
+	}
 	c.resp.Rows, c.resp.Signature = result.Rows, result.Signature
 	c.resp.Position = &peerpb.Token{Group: tx.pool.server.Group, Term: result.Position.Term, Position: result.Position.Number}
 	// Later statements do not check that the host may use the primary, so that their
 	// positions are not authoritative.
 	c.resp.Authoritative = tx.primary && handle == 0
-	if staysOpen {
-		tx.pool.yieldSlot(tx.requestID)
-		c.resp.Transaction = c.storeTransaction(tx, handle)
-		return nil
-	}
-	if handle != 0 {
-		c.removeTransaction(handle)
-	}
-	c.release(tx, result.State)
 	return nil
 }
 
+// isCommit reports whether the success of the statement says that writes are kept.
+func (c *call) isCommit() bool {
+	switch statement.Kind(c.req.GetKind()) {
+	case statement.Write, statement.Commit:
+		return true
+	case statement.Execute:
+		return c.req.GetShapeWrites()
+	}
+	return false
+}
+
 // storeTransaction stores the open transaction until its next statement and returns its
 // handle.
 func (c *call) storeTransaction(tx *transaction, handle uint64) uint64 {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -51,6 +51,10 @@
 	// RecordAnswer records that a server answered a statement sent at the given
 	// time; p is the log position in the answer.
 	RecordAnswer(group, server string, sent time.Duration, p statement.Position)
+	// ConfirmCommit reports whether a commit that the server has acknowledged, at the log
+	// position p or before, may be acknowledged to the client. It waits for up to limit
+	// while the primary is being changed.
+	ConfirmCommit(ctx context.Context, group, server string, p statement.Position, limit time.Duration) bool
 	// RecordNotPrimary records that the server rejected a write because it is no
 	// longer the primary.
 	RecordNotPrimary(group, server string)
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -126,6 +126,7 @@
 type fakeAuthority struct {
 	mu              sync.Mutex
 	hasPrimary      bool
+	rejectsCommits  bool
 	notPrimaryCalls int
 }
 
@@ -141,6 +142,10 @@
 
 func (a *fakeAuthority) RecordAnswer(string, string, time.Duration, statement.Position) {}
 
+func (a *fakeAuthority) ConfirmCommit(context.Context, string, string, statement.Position, time.Duration) bool {
+	return !a.rejectsCommits
+}
+
 func (a *fakeAuthority) RecordNotPrimary(string, string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -338,6 +343,23 @@
 	assert.Equal(t, f.authority.notPrimaryCalls, 1)
 }
 
+// Guards against acknowledging a commit that a change of the primary may roll back.
+func TestUnconfirmedCommitMayHaveRun(t *testing.T) {
+	f := newFixture(t)
+	f.authority.rejectsCommits = true
+	f.wantFailure(f.do(write()), verdict.MayHaveRun, verdict.AuthorityLost)
+	inTx := write()
+	inTx.BeginText = "BEGIN"
+	r := f.do(inTx)
+	assert.Assert(t, r.GetTransaction() != 0)
+	commit := &peerpb.ExecuteRequest{Kind: uint32(statement.Commit), Text: "COMMIT", Transaction: r.GetTransaction()}
+	f.wantFailure(f.do(commit), verdict.MayHaveRun, verdict.AuthorityLost)
+	current := read()
+	current.Primary = true
+	assert.Assert(t, f.do(current).GetFailure() == nil)
+	assert.Equal(t, f.x.Transactions(), 0)
+}
+
 // Guards against a host that uses a server as the primary without owning the group.
 func TestPrimaryRequiresAuthority(t *testing.T) {
 	f := newFixture(t)
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -142,8 +142,10 @@
 	replicas         []string
 	departedPosition statement.Position
 	// target is the server to promote, orderedEpoch the epoch of the last order.
-	target       string
-	orderedEpoch uint64
+	// promotesReplica is set if target was not the primary when it was chosen.
+	target          string
+	promotesReplica bool
+	orderedEpoch    uint64
 	// lastContactAt is the time of the newest evidence that the primary is alive:
 	// when its report that it is the primary arrived, or when a later statement or poll
 	// that it answered was sent. lastPosition is its newest known position.
@@ -151,8 +153,12 @@
 	lastContactAt   time.Duration
 	lastPosition    statement.Position
 	positionCurrent bool
-	failedPolls     int
-	refusedPolls    int
+	// term is the term of the primary, and firstPosition the position with which it began
+	// that term; zero if this host did not see the promotion.
+	term          uint64
+	firstPosition statement.Position
+	failedPolls   int
+	refusedPolls  int
 	// planned is set while a working primary is being replaced.
 	planned bool
 	// unusableSince is the time at which the primary was first found not to be
@@ -330,6 +336,7 @@
 // used for two servers.
 func (m *Machine) startPromotion(now time.Duration, server, reason string) {
 	m.target, m.nextOrderAt, m.Candidates = server, now, m.candidates()
+	m.promotesReplica = !m.reports[server].status.Primary
 	if m.orderedEpoch == m.epoch {
 		m.enterPhase(now, WaitingForEpoch, reason)
 		m.actions = append(m.actions, NextEpoch{})
@@ -372,6 +379,7 @@
 func (m *Machine) awaitPromotion(now time.Duration) {
 	if r, ok := m.reports[m.target]; ok && r.pollSentAt >= m.phaseSince && r.status.Primary {
 		m.primary, m.lastContactAt, m.failedPolls, m.refusedPolls = m.target, r.receivedAt, 0, 0
+		m.recordTerm(r.status)
 		m.lastPosition, m.unusableSince = r.status.Position, 0
 		m.positionCurrent = m.usableSince != 0 && r.pollSentAt >= m.usableSince
 		for _, c := range m.contacts {
@@ -392,6 +400,19 @@
 	}
 }
 
+// recordTerm records the term of a new primary. Nothing is written in a new term before
+// this host uses the primary, so that its first report has the position with which
+// the term began.
+func (m *Machine) recordTerm(s statement.Status) {
+	switch {
+	case m.promotesReplica:
+		m.firstPosition = s.Position
+	case s.Term != m.term:
+		m.firstPosition = statement.Position{}
+	}
+	m.term = s.Term
+}
+
 // supervisePrimary polls a primary that has not answered for idlePollDelay. It
 // replaces a primary that may not get new work or is suspected to have failed.
 func (m *Machine) supervisePrimary(now time.Duration) {
@@ -525,6 +546,26 @@
 	}
 }
 
+// KeepsCommit reports whether a commit that the server has acknowledged, at the position
+// p or before, is kept by every promotion. pending is set if that is not decided yet.
+func (m *Machine) KeepsCommit(server string, p statement.Position) (kept, pending bool) {
+	switch m.phase {
+	case Idle:
+		return false, false
+	case Leading:
+		// A later choice of a primary rests on lastPosition, which includes the commit.
+		return server == m.primary || contains(m.firstPosition, p), false
+	case WaitingForPromotion:
+		r, ok := m.reports[m.target]
+		return ok && m.target != server && !r.status.Primary && contains(r.status.Position, p), true
+	}
+	return false, true
+}
+
+// contains reports whether a log that ends at the position end has the position p of an
+// earlier or the same term. Numbers are consecutive over all terms.
+func contains(end, p statement.Position) bool { return !end.Less(p) && p.Number <= end.Number }
+
 // RecordNotPrimary records that a statement failed because the server was not the
 // primary.
 func (m *Machine) RecordNotPrimary(now time.Duration, server string) {
--- a/internal/failover/shell.go
+++ b/internal/failover/shell.go
@@ -358,6 +358,37 @@
 	}
 }
 
+// commitPollInterval is the interval between checks whether an unconfirmed commit has
+// reached the server that is being promoted.
+const commitPollInterval = 2 * tickInterval
+
+// ConfirmCommit reports whether a commit that the server has acknowledged, at the
+// position p or before, may be acknowledged to the client. In a group with synchronous
+// replicas it waits for up to limit while the primary is being changed, because the
+// commit may be rolled back. A commit that is not confirmed may still be kept.
+func (s *Shell) ConfirmCommit(ctx context.Context, name, server string, p statement.Position, limit time.Duration) bool {
+	if s.opt.Directory.Group(name).SyncReplicas == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		_, held := s.opt.Roles.UsableEpoch(Role(name))
+		s.mu.Lock()
+		kept, pending := s.stateOf(name).machine.KeepsCommit(server, p)
+		s.mu.Unlock()
+		if held && kept {
+			return true
+		}
+		if !held || !pending || !clock.Sleep(ctx, commitPollInterval) {
+			s.opt.Counters.Add("commits_unconfirmed", 1)
+			s.opt.Log.Info().Str("group", name).Str("server", server).Uint64("term", p.Term).Uint64("number", p.Number).
+				Bool("held", held).Bool("pending", pending).Msg("commit not confirmed")
+			return false
+		}
+	}
+}
+
 // RecordAnswer records that a server answered a statement that was sent at the time
 // sent.
 func (s *Shell) RecordAnswer(name, server string, sent time.Duration, p statement.Position) {
--- a/internal/failover/successor_test.go
+++ b/internal/failover/successor_test.go
@@ -245,3 +245,48 @@
 	})
 	assert.Assert(t, lost)
 }
+
+// Guards against acknowledging a commit that the old primary accepted after its
+// successor had been chosen, unless the successor has received it.
+func TestCommitDuringReplacementIsConfirmed(t *testing.T) {
+	for name, received := range map[string]bool{"received": true, "lost": false} {
+		t.Run(name, func(t *testing.T) {
+			c := newFakeCluster(t)
+			c.syncReplicas = 1
+			c.run(time.Second)
+			c.members[0].Usable = false
+			c.run(200 * time.Millisecond) // a successor is ordered
+			assert.Equal(t, c.m.Phase(), WaitingForPromotion)
+			p := statement.Position{Term: 1, Number: 11}
+			c.m.RecordAnswer(c.now, "a", p)
+			kept, pending := c.m.KeepsCommit("a", p)
+			assert.Assert(t, !kept && pending)
+			if received {
+				c.advance(c.m.target, 11)
+			}
+			c.run(100 * time.Millisecond)
+			kept, pending = c.m.KeepsCommit("a", p)
+			assert.Assert(t, kept == received && pending)
+			c.run(time.Second)
+			assert.Assert(t, c.primary() != "a")
+			kept, pending = c.m.KeepsCommit("a", p)
+			assert.Assert(t, kept == received && !pending)
+		})
+	}
+}
+
+// Guards against acknowledging a commit after the role was lost: the next owner may have
+// chosen a successor without it.
+func TestCommitIsNotConfirmedWithoutRole(t *testing.T) {
+	c := newFakeCluster(t)
+	c.syncReplicas = 1
+	c.run(time.Second)
+	p := statement.Position{Term: 1, Number: 11}
+	c.m.RecordAnswer(c.now, "a", p)
+	kept, _ := c.m.KeepsCommit("a", p)
+	assert.Assert(t, kept)
+	c.epoch = 0
+	c.run(tickInterval)
+	kept, pending := c.m.KeepsCommit("a", p)
+	assert.Assert(t, !kept && !pending)
+}
