Refuse statements at once while a lost primary has no successor

What callers saw: since a promotion in a group with synchronous replicas may wait without a limit, and before that whenever no replica answered, statements went on to a primary that did not answer, and failed only when their time was over.

Change: 1.2 s after the search for a successor began, the primary is not offered any more until it answers a poll, and no statement waits for another one.

Evidence: TestLostPrimaryWithoutSuccessorIsNotUsed fails without the change.

--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -170,7 +170,9 @@
 	PhaseReason, Candidates string
 	// WaitReason is the reason why a lost primary is not replaced yet. It is logged.
 	WaitReason string
-	actions    []Action
+	// stalled is set while the primary does not answer and none can be promoted.
+	stalled bool
+	actions []Action
 }
 
 // NewMachine returns a Machine in the phase Idle.
@@ -186,7 +188,9 @@
 
 // Primary returns the current or last primary and whether it may be used for new
 // work now.
-func (m *Machine) Primary() (server string, ok bool) { return m.primary, m.phase == Leading }
+func (m *Machine) Primary() (server string, ok bool) {
+	return m.primary, m.phase == Leading && !m.stalled
+}
 
 // ReadPrimary returns the server on which reads are current, and whether there is
 // one. This is the primary, also during a planned replacement, because no write is
@@ -194,7 +198,7 @@
 func (m *Machine) ReadPrimary() (server string, ok bool) {
 	switch m.phase {
 	case Leading:
-		return m.primary, true
+		return m.primary, !m.stalled
 	case CatchingUp, WaitingForEpoch, Ordering, WaitingForPromotion:
 		return m.primary, m.planned && m.primary != ""
 	}
@@ -203,7 +207,9 @@
 
 // PrimaryExpected reports whether the group has no usable primary but is about to get
 // one.
-func (m *Machine) PrimaryExpected() bool { return m.phase != Idle && m.phase != Leading }
+func (m *Machine) PrimaryExpected() bool {
+	return m.phase != Idle && m.phase != Leading && !m.stalled
+}
 
 // enterPhase changes the phase. It ends a planned replacement unless the new phase
 // is part of one.
@@ -212,7 +218,7 @@
 		m.planned = false
 	}
 	m.phase, m.phaseSince, m.PhaseReason = p, now, reason
-	m.searchSince, m.WaitReason = 0, ""
+	m.searchSince, m.WaitReason, m.stalled = 0, "", false
 }
 
 // Tick advances the machine to the time now and returns the actions to perform.
@@ -308,9 +314,12 @@
 	if now-m.phaseSince < suspectTimeout {
 		return
 	}
-	if best, ok := m.successor(now, ""); ok {
+	best, ok := m.successor(now, "")
+	if ok {
 		m.startPromotion(now, best, "no primary answers")
+		return
 	}
+	m.stalled = now-m.phaseSince >= suspectTimeout+stallTimeout
 }
 
 // reportedPrimary returns the server that reports that it is the primary, the one of
@@ -432,7 +441,7 @@
 		m.recordReplicas(now)
 	}
 	if m.failedPolls == 0 {
-		m.searchSince, m.WaitReason = 0, ""
+		m.searchSince, m.WaitReason, m.stalled = 0, "", false
 		return
 	}
 	// The replicas are asked before the primary is suspected, so that the choice
@@ -442,9 +451,12 @@
 	}
 	m.pollCandidates(now)
 	if silence >= suspectTimeout && m.failedPolls >= 2 || silence >= refusedTimeout && m.refusedPolls >= 2 {
-		if best, ok := m.successor(now, m.primary); ok {
+		best, ok := m.successor(now, m.primary)
+		if ok {
 			m.startPromotion(now, best, "primary does not answer")
+			return
 		}
+		m.stalled = now-m.searchSince >= stallTimeout
 	}
 }
 
--- a/internal/failover/successor.go
+++ b/internal/failover/successor.go
@@ -15,6 +15,10 @@
 	// longest wait for a slot of a server whose queue is full. It does not limit the
 	// wait in a group with synchronous replicas.
 	successorTimeout = 600 * time.Millisecond
+	// stallTimeout is the time of search after which a primary that does not answer is
+	// not used any more although no successor was found, so that statements are refused
+	// at once.
+	stallTimeout = 2 * successorTimeout
 	// unansweredPollInterval is the interval between the polls of a server that has
 	// not reported its position, reportedPollInterval of one that has.
 	unansweredPollInterval = 50 * time.Millisecond
--- a/internal/failover/successor_test.go
+++ b/internal/failover/successor_test.go
@@ -290,3 +290,22 @@
 	kept, pending := c.m.KeepsCommit("a", p)
 	assert.Assert(t, !kept && !pending)
 }
+
+// Guards against statements that wait for a primary which does not answer and cannot be
+// replaced: they are refused at once until it answers again.
+func TestLostPrimaryWithoutSuccessorIsNotUsed(t *testing.T) {
+	c := newFakeCluster(t)
+	c.loseAdvancedPrimary()
+	c.syncReplicas, c.down["c"] = 1, true
+	c.run(failoverTime + stallTimeout)
+	_, readable := c.m.ReadPrimary()
+	assert.Assert(t, c.primary() == "" && !readable && !c.m.PrimaryExpected())
+	c.down["a"], c.answerDelay["a"] = false, 0
+	c.run(2*pollFailureDelay + 4*tickInterval)
+	assert.Equal(t, c.primary(), "a")
+	// The same holds for a host that takes the group over.
+	c.down["a"] = true
+	c.epoch += 2
+	c.run(suspectTimeout + stallTimeout + 2*tickInterval)
+	assert.Assert(t, c.primary() == "" && !c.m.PrimaryExpected())
+}
