Do not promote a server with commits that were rolled back

Change: the owner remembers with which position each term began that it has seen, and does not promote a server whose log goes beyond it in an older term. If no other server answers for 30 s, it is promoted all the same.

Tests: TestRolledBackCommitsDoNotComeBack and TestRolledBackCommitsDoNotComeBackLater fail without the change. Open: a host that takes the group over does not know where earlier terms began.

--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -153,10 +153,10 @@
 	lastContactAt   time.Duration
 	lastPosition    statement.Position
 	positionCurrent bool
-	// term is the term of the primary, and firstPosition the position with which it began
-	// that term; zero if this host did not see the promotion.
-	term          uint64
+	// firstPosition is the position with which the primary began its term; zero if this
+	// host did not see the promotion. termStarts are the promotions that it saw.
 	firstPosition statement.Position
+	termStarts    []termStart
 	failedPolls   int
 	refusedPolls  int
 	// planned is set while a working primary is being replaced.
@@ -409,19 +409,6 @@
 	}
 }
 
-// recordTerm records the term of a new primary. Nothing is written in a new term before
-// this host uses the primary, so that its first report has the position with which
-// the term began.
-func (m *Machine) recordTerm(s statement.Status) {
-	switch {
-	case m.promotesReplica:
-		m.firstPosition = s.Position
-	case s.Term != m.term:
-		m.firstPosition = statement.Position{}
-	}
-	m.term = s.Term
-}
-
 // supervisePrimary polls a primary that has not answered for idlePollDelay. It
 // replaces a primary that may not get new work or is suspected to have failed.
 func (m *Machine) supervisePrimary(now time.Duration) {
--- a/internal/failover/successor.go
+++ b/internal/failover/successor.go
@@ -19,6 +19,10 @@
 	// not used any more although no successor was found, so that statements are refused
 	// at once.
 	stallTimeout = 2 * successorTimeout
+	// divergedTimeout is the time of search after which a server with commits that an
+	// earlier promotion rolled back is promoted, if no other one answers. A server that
+	// has crashed is normally back before.
+	divergedTimeout = 30 * time.Second
 	// unansweredPollInterval is the interval between the polls of a server that has
 	// not reported its position, reportedPollInterval of one that has.
 	unansweredPollInterval = 50 * time.Millisecond
@@ -88,6 +92,37 @@
 	return c.floor, c.busyAt >= m.searchSince && !c.floor.IsZero()
 }
 
+// termStart is a promotion that this host has seen: the new term, and the position with
+// which it began.
+type termStart struct {
+	term  uint64
+	first statement.Position
+}
+
+// maxTermStarts limits the promotions that are remembered.
+const maxTermStarts = 64
+
+// recordTerm records the term of a new primary. Nothing is written in a new term before
+// this host uses the primary, so that its first report has the position with which the
+// term began.
+func (m *Machine) recordTerm(s statement.Status) {
+	m.firstPosition = statement.Position{}
+	if n := len(m.termStarts); n > 0 && m.termStarts[n-1].term == s.Term {
+		m.firstPosition = m.termStarts[n-1].first
+	} else if m.promotesReplica {
+		m.firstPosition = s.Position
+		m.termStarts = append(m.termStarts, termStart{s.Term, s.Position})
+		m.termStarts = m.termStarts[max(0, len(m.termStarts)-maxTermStarts):]
+	}
+}
+
+// isDiverged reports whether a log that ends at p has commits that a promotion rolled
+// back. A server that was out of reach during the promotion keeps them until it follows
+// the new primary.
+func (m *Machine) isDiverged(p statement.Position) bool {
+	return slices.ContainsFunc(m.termStarts, func(s termStart) bool { return p.Term < s.term && !contains(s.first, p) })
+}
+
 // mostAdvanced returns the server with the highest known position among those that may
 // be promoted, and that position. The server except is left out. With leaving set,
 // servers that may not get new work are included; at equal positions, others are
@@ -99,6 +134,9 @@
 		if !alive || x.Name == except || now < m.backoffUntil[x.Name] || !x.Usable && !leaving {
 			continue
 		}
+		if m.isDiverged(p) && now-m.searchSince < divergedTimeout {
+			continue
+		}
 		if server == "" || best.Less(p) || p == best && x.Usable && !usable {
 			server, best, usable = x.Name, p, x.Usable
 		}
@@ -113,7 +151,7 @@
 	m.WaitReason = ""
 	defer func() {
 		if !ok && m.WaitReason == "" {
-			m.WaitReason = "no server that may be promoted answers"
+			m.WaitReason = "no server answers that may be promoted and has no commits that were rolled back"
 		}
 	}()
 	if m.group.SyncReplicas > 0 {
@@ -179,7 +217,7 @@
 // highestPosition returns the highest known position of all servers but except.
 func (m *Machine) highestPosition(except string) (highest statement.Position) {
 	for _, x := range m.group.Members {
-		if p, alive := m.knownPosition(x.Name); alive && x.Name != except {
+		if p, alive := m.knownPosition(x.Name); alive && x.Name != except && !m.isDiverged(p) {
 			highest = statement.Max(highest, p)
 		}
 	}
@@ -246,6 +284,8 @@
 		p, alive := m.knownPosition(x.Name)
 		state := "silent"
 		switch {
+		case m.reported(x.Name) && m.isDiverged(p):
+			state = "diverged"
 		case m.reported(x.Name):
 			state = "reported"
 		case alive || m.contact(x.Name).busyAt >= m.searchSince:
--- a/internal/failover/successor_test.go
+++ b/internal/failover/successor_test.go
@@ -309,3 +309,56 @@
 	c.run(suspectTimeout + stallTimeout + 2*tickInterval)
 	assert.Assert(t, c.primary() == "" && !c.m.PrimaryExpected())
 }
+
+// rollBackCommitsOf lets b lead a new term without the commits 9 to 12, which c has but
+// is down, and then fail.
+func (c *fakeCluster) rollBackCommitsOf(down string) {
+	c.run(time.Second)
+	c.advance("a", 12)
+	c.advance(down, 12)
+	c.advance("b", 8)
+	c.m.RecordAnswer(c.now, "a", statement.Position{Term: 1, Number: 12})
+	c.down["a"], c.down[down] = true, true
+	c.run(failoverTime + successorTimeout)
+	assert.Equal(c.t, c.primary(), "b")
+	c.advance("b", 9)
+	c.m.RecordAnswer(c.now, "b", statement.Position{Term: 2, Number: 9})
+	c.down["b"], c.down[down] = true, false
+}
+
+// Guards against the promotion of a server that was out of reach during an earlier
+// promotion and still has commits which that promotion rolled back: they would come
+// back, and commits that were acknowledged since would be lost.
+func TestRolledBackCommitsDoNotComeBack(t *testing.T) {
+	c := newFakeCluster(t)
+	c.rollBackCommitsOf("c")
+	c.run(5 * time.Second)
+	assert.Equal(t, c.primary(), "")
+	// The failed primary is back, as a replica.
+	c.status["b"] = statement.Status{Term: 2, Position: statement.Position{Term: 2, Number: 9}}
+	c.down["b"] = false
+	c.run(2 * time.Second)
+	assert.Equal(t, c.primary(), "b")
+}
+
+// Guards against the same after several promotions, the last of which began above the
+// position of the server.
+func TestRolledBackCommitsDoNotComeBackLater(t *testing.T) {
+	c := newFakeCluster(t)
+	c.rollBackCommitsOf("c")
+	c.down["c"], c.down["a"] = true, false
+	c.status["a"] = statement.Status{Term: 2, Position: statement.Position{Term: 2, Number: 20}}
+	c.run(failoverTime + successorTimeout)
+	assert.Equal(t, c.primary(), "a")
+	c.down["c"], c.down["a"] = false, true
+	c.run(5 * time.Second)
+	assert.Equal(t, c.primary(), "")
+}
+
+// Guards against a group that has no primary for good when no other server is left.
+func TestDivergedServerIsTheLastResort(t *testing.T) {
+	c := newFakeCluster(t)
+	c.rollBackCommitsOf("c")
+	c.run(failoverTime + divergedTimeout + successorTimeout)
+	assert.Equal(t, c.primary(), "c")
+}
