Forget unregistered servers, and confirm commits without a copy of the group

The machine kept what it knew of each server that was ever registered. Confirmation of commits copied the members of the group for each write, also in groups without synchronous replicas. The reason of a wait is set in one place for each kind of group.

--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -228,7 +228,7 @@
 func (m *Machine) Tick(now time.Duration, epoch uint64, usable bool, group Group) []Action {
 	m.actions = m.actions[:0]
 	m.group = group
-	m.forgetRestarted()
+	m.forgetServers()
 	if epoch != m.epoch {
 		m.epochChanged(now, epoch)
 	}
--- a/internal/failover/shell.go
+++ b/internal/failover/shell.go
@@ -153,8 +153,11 @@
 
 // stepGroup ticks the machine of one group and performs its actions.
 func (s *Shell) stepGroup(ctx context.Context, name string) {
-	epoch, _ := s.opt.Roles.AssignedEpoch(Role(name))
-	_, usable := s.opt.Roles.UsableEpoch(Role(name))
+	epoch, assigned := s.opt.Roles.AssignedEpoch(Role(name))
+	usable := false
+	if assigned {
+		_, usable = s.opt.Roles.UsableEpoch(Role(name))
+	}
 	now := s.opt.Clock()
 	s.mu.Lock()
 	g := s.stateOf(name)
@@ -367,16 +370,19 @@
 // replicas it waits for up to limit while the primary is being changed, because the
 // commit may be rolled back. A commit that is not confirmed may still be kept.
 func (s *Shell) ConfirmCommit(ctx context.Context, name, server string, p statement.Position, limit time.Duration) bool {
-	if s.opt.Directory.Group(name).SyncReplicas == 0 {
+	s.mu.Lock()
+	synchronous := s.stateOf(name).machine.group.SyncReplicas > 0
+	s.mu.Unlock()
+	if !synchronous {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
-		_, held := s.opt.Roles.UsableEpoch(Role(name))
 		s.mu.Lock()
 		kept, pending := s.stateOf(name).machine.KeepsCommit(server, p)
 		s.mu.Unlock()
+		_, held := s.opt.Roles.UsableEpoch(Role(name))
 		if held && kept {
 			return true
 		}
--- a/internal/failover/successor.go
+++ b/internal/failover/successor.go
@@ -50,15 +50,24 @@
 	return c
 }
 
-// forgetRestarted drops what is known of servers that have been registered again. Such a
-// server has lost its log.
-func (m *Machine) forgetRestarted() {
+// forgetServers drops what is known of servers that are not registered any more or have
+// been registered again. The latter have lost their logs.
+func (m *Machine) forgetServers() {
 	for _, x := range m.group.Members {
 		if c := m.contact(x.Name); c.incarnation != x.Incarnation {
 			*c = serverContact{incarnation: x.Incarnation}
 			delete(m.reports, x.Name)
 		}
 	}
+	if len(m.contacts) == len(m.group.Members) {
+		return
+	}
+	for name := range m.contacts {
+		if _, ok := m.member(name); !ok {
+			delete(m.contacts, name)
+			delete(m.reports, name)
+		}
+	}
 }
 
 // pollCandidates polls the servers whose reports a choice of a successor needs.
@@ -147,27 +156,25 @@
 // successor returns the server to promote in place of the primary except. It returns
 // false while a server that may be more advanced is waited for, or if no server may be
 // promoted.
-func (m *Machine) successor(now time.Duration, except string) (server string, ok bool) {
-	m.WaitReason = ""
-	defer func() {
-		if !ok && m.WaitReason == "" {
-			m.WaitReason = "no server answers that may be promoted and has no commits that were rolled back"
-		}
-	}()
+func (m *Machine) successor(now time.Duration, except string) (string, bool) {
 	if m.group.SyncReplicas > 0 {
 		return m.safeSuccessor(now, except)
 	}
 	best, p := m.mostAdvanced(now, except, false)
-	if best == "" {
-		return "", false
-	}
-	if m.hasAllCommits(p) || now-m.searchSince >= successorTimeout || !m.awaitsReport(now, except) {
+	switch {
+	case best == "":
+		m.WaitReason = noServerReason
+	case m.hasAllCommits(p) || now-m.searchSince >= successorTimeout || !m.awaitsReport(now, except):
 		return best, true
+	default:
+		m.WaitReason = "a replica has not reported its position"
 	}
-	m.WaitReason = "a replica has not reported its position"
 	return "", false
 }
 
+// noServerReason is the WaitReason while no server can be promoted.
+const noServerReason = "no server answers, or only servers with commits that were rolled back"
+
 // awaitsReport reports whether a server that may be promoted has not reported its
 // position, and is not known to be down.
 func (m *Machine) awaitsReport(now time.Duration, except string) bool {
@@ -194,18 +201,19 @@
 		return best, true
 	}
 	best, p := m.mostAdvanced(now, except, true)
-	if best == "" {
-		return "", false
-	}
 	safe := m.silentReplicas() < m.group.SyncReplicas && !p.Less(m.highestPosition(except))
 	if m.hasAllCommits(p) {
 		safe = now-m.searchSince >= successorTimeout
 	}
-	if !safe {
+	switch {
+	case best == "":
+		m.WaitReason = noServerReason
+	case safe:
+		return best, true
+	default:
 		m.WaitReason = "a replica that has not reported its position may have more acknowledged commits"
-		return "", false
 	}
-	return best, true
+	return "", false
 }
 
 // hasAllCommits reports whether a server with the position p certainly has every commit
--- a/internal/failover/successor_test.go
+++ b/internal/failover/successor_test.go
@@ -362,3 +362,14 @@
 	c.run(failoverTime + divergedTimeout + successorTimeout)
 	assert.Equal(t, c.primary(), "c")
 }
+
+// Guards against a host whose memory grows with every server that was ever registered.
+func TestUnregisteredServersAreForgotten(t *testing.T) {
+	c := newFakeCluster(t)
+	c.run(time.Second)
+	c.m.RecordAnswer(c.now, "x", statement.Position{Term: 1, Number: 1})
+	c.members = c.members[:2]
+	c.run(tickInterval)
+	assert.Equal(t, len(c.m.contacts), 2)
+	assert.Equal(t, len(c.m.reports), 2)
+}
