Wait for the end of the former owner in a planned replacement, too

Cause (by reading): with synchronous replicas a planned replacement compared replicas with the last position that this host had seen, although the former owner may go on acknowledging commits until its role has lapsed. Now the last position must be known to include every acknowledged commit. A host that does not own a group keeps nothing of its servers.

Test: TestPlannedReplacementWaitsForEndOfFormerOwner fails without the change.

--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -483,10 +483,14 @@
 		}
 	}
 	best, p := m.mostAdvanced(now, m.primary, false)
+	caughtUp := !p.Less(m.lastPosition)
+	if m.group.SyncReplicas > 0 {
+		caughtUp = m.hasAllCommits(p)
+	}
 	switch {
 	case best == "":
 		return
-	case !p.Less(m.lastPosition), m.group.SyncReplicas == 0 && now-m.phaseSince >= catchUpTimeout:
+	case caughtUp, m.group.SyncReplicas == 0 && now-m.phaseSince >= catchUpTimeout:
 		m.startPromotion(now, best, "primary leaves")
 	case now-m.phaseSince >= promotionTimeout:
 		m.enterPhase(now, Surveying, "no replica has all commits")
@@ -529,6 +533,9 @@
 // time sent. The position counts in every phase, because commits of open transactions
 // are acknowledged while the primary is replaced.
 func (m *Machine) RecordAnswer(sent time.Duration, server string, p statement.Position) {
+	if m.phase == Idle {
+		return
+	}
 	if server != m.primary {
 		c := m.contact(server)
 		c.floor = statement.Max(c.floor, p)
--- a/internal/failover/successor_test.go
+++ b/internal/failover/successor_test.go
@@ -373,3 +373,22 @@
 	assert.Equal(t, len(c.m.contacts), 2)
 	assert.Equal(t, len(c.m.reports), 2)
 }
+
+// Guards against the planned replacement of a primary with which the former owner may
+// still acknowledge commits.
+func TestPlannedReplacementWaitsForEndOfFormerOwner(t *testing.T) {
+	c := newFakeCluster(t)
+	c.syncReplicas, c.usable = 1, false
+	c.run(time.Second)
+	assert.Equal(t, c.primary(), "a")
+	orders := len(c.orders)
+	c.members[0].Usable = false
+	c.run(time.Second)
+	assert.Equal(t, len(c.orders), orders)
+	for _, n := range []string{"a", "c"} {
+		c.advance(n, 11) // the former owner acknowledges a commit
+	}
+	c.usable = true
+	c.run(promotionTimeout + 3*time.Second)
+	assert.Equal(t, c.primary(), "c")
+}
