--- a/internal/failover/successor_test.go
+++ b/internal/failover/successor_test.go
@@ -15,7 +15,8 @@
 	// pollFailureDelay is the time after which a poll of a server that is down fails.
 	pollFailureDelay = 300 * time.Millisecond
 	// failoverTime is the longest time from the loss of the primary to the use of
-	// another one that all replicas report in time.
+	// another one if all replicas report in time: suspicion, a poll that is under way
+	// and one that fails, and the promotion.
 	failoverTime = suspectTimeout + 2*pollFailureDelay + 600*time.Millisecond + 4*tickInterval
 )
 
@@ -190,7 +191,7 @@
 
 // lossRun simulates a group whose primary acknowledges commits that one replica has
 // received, fails, and is replaced. It returns the acknowledged position and that of the
-// new primary, or 0 if there is none.
+// new primary. It fails if no server is promoted.
 func lossRun(t *testing.T, rt *rapid.T, syncReplicas int) (acknowledged, kept uint64) {
 	c := newFakeCluster(t)
 	c.syncReplicas = syncReplicas
