--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -77,6 +77,8 @@
 	Promoter  failover.Promoter
 	// ReadyPath is the URL path of the readiness probe.
 	ReadyPath string
+	// Features are the optional parts that the deployment asks for.
+	Features Features
 }
 
 // Host is a running proxy process that serves typed statements.
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -49,6 +49,20 @@
 	ProcessorShare float64 `yaml:"processor_share"`
 	LinkMbps       float64 `yaml:"link_mbps"`
 	LogLevel       string  `yaml:"log_level"`
+	// Requirements names, in the platform's words, what the deployment asks of its hosts.
+	// The platform adapter translates them to Features.
+	Requirements []string `yaml:"requirements,omitempty"`
+}
+
+// Features are the optional parts of a host. Each is off unless the deployment asks for
+// it.
+type Features struct {
+	// ServerSupervision ejects servers that fail more often than the others of their
+	// group, and paces servers that have just started or recovered.
+	ServerSupervision bool
+	// ContentionControl schedules the slots and connections of servers by what can still
+	// be served in time, and makes home hosts report the loads of their servers.
+	ContentionControl bool
 }
 
 // ListenSettings are the addresses of the listeners.
