Report the loads of backend servers to entry hosts

A home host that is asked to (requirements health or pool) adds the load of the server to each answer and the loads of all its servers to its heartbeats; relays pass them on. Entry hosts keep the newest of each server. Nothing decides by them yet.

--- a/internal/backend/dispatcher.go
+++ b/internal/backend/dispatcher.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
 
@@ -125,6 +126,29 @@
 	return time.Duration(ahead) * d.meanService / time.Duration(d.slots())
 }
 
+// priorityLevels is the number of priorities for which the expected wait is reported.
+// Lower priorities wait as long as the last one.
+const priorityLevels = 4
+
+// Load returns the occupancy of the slots and connections, without the name of the
+// server and the time.
+func (d *Dispatcher) Load(now time.Duration) serverload.Load {
+	busy := 0
+	for _, c := range d.conns {
+		if c.busy {
+			busy++
+		}
+	}
+	l := serverload.Load{
+		Slots: d.settings.Slots, Running: d.slotsInUse, Waiting: len(d.queue), Service: d.meanService,
+		FreeConnections: max(d.budget(now)-busy-d.closing, 0),
+	}
+	for priority := range priorityLevels {
+		l.Wait = append(l.Wait, d.ExpectedWait(priority))
+	}
+	return l
+}
+
 // Request queues a new request. It refuses the request at once if the queue is
 // full, or if the expected wait for a slot is longer than wait, the longest time
 // for which waiting is useful.
--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -13,10 +13,13 @@
 
 // call is the state of one call of Execute.
 type call struct {
-	x        *Executor
-	ctx      context.Context
-	req      *peerpb.ExecuteRequest
-	resp     *peerpb.ExecuteResponse
+	x    *Executor
+	ctx  context.Context
+	req  *peerpb.ExecuteRequest
+	resp *peerpb.ExecuteResponse
+	// pool is the pool of the server that the statement was sent to, nil before it is
+	// known.
+	pool     *serverPool
 	began    time.Duration
 	deadline time.Duration
 }
@@ -54,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	c.pool = p
 	if !p.admitCold() {
 		return verdict.New(verdict.NotRun, verdict.QueueFull, "backend server %s is cold and limited to %.0f requests per second", server, p.coldRate())
 	}
@@ -197,6 +201,7 @@
 	}
 	tx.busy = true
 	c.x.mu.Unlock()
+	c.pool = tx.pool
 	if statement.Kind(c.req.GetKind()) == statement.Rollback {
 		c.removeTransaction(handle)
 		c.release(tx, statement.InTransaction)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -67,9 +70,11 @@
 	Snapshot  func() *catalog.Snapshot
 	// IsHomeHost reports whether this host is the home host of a server.
 	IsHomeHost func(server string) bool
-	Clock      clock.Clock
-	Log        *log.Logger
-	Counters   *telemetry.Counters
+	// ReportLoads adds the load of the server to the response of a statement.
+	ReportLoads bool
+	Clock       clock.Clock
+	Log         *log.Logger
+	Counters    *telemetry.Counters
 }
 
 // Executor runs statements at the backend servers of which this host is the home host.
@@ -212,5 +217,26 @@
 	if err != nil {
 		c.resp.Failure = peer.EncodeFailure(verdict.From(err))
 	}
+	if x.opt.ReportLoads && c.pool != nil {
+		c.resp.Load = serverload.Encode(x.opt.Clock(), c.pool.load())
+	}
 	return c.resp
 }
+
+// Loads returns the loads of the servers of which this host is the home host. It returns
+// none unless loads are reported.
+func (x *Executor) Loads() []serverload.Load {
+	if !x.opt.ReportLoads {
+		return nil
+	}
+	x.mu.Lock()
+	pools := slices.Collect(maps.Values(x.pools))
+	x.mu.Unlock()
+	loads := make([]serverload.Load, 0, len(pools))
+	for _, p := range pools {
+		if x.opt.IsHomeHost(p.server.Name) {
+			loads = append(loads, p.load())
+		}
+	}
+	return loads
+}
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/backend"
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
+	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
@@ -264,3 +265,13 @@
 	defer p.mu.Unlock()
 	return c.lastAnswer < p.lastOverdue
 }
+
+// load returns the load of the server at this moment.
+func (p *serverPool) load() serverload.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.x.opt.Clock()
+	l := p.dispatcher.Load(now)
+	l.Server, l.MeasuredAt = p.server.Name, now
+	return l
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -14,6 +14,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/freshness"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
+	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -53,6 +54,9 @@
 	Log       *log.Logger
 	Counters  *telemetry.Counters
 	Latencies *telemetry.Latencies
+	// Loads holds the known loads of backend servers. It is empty unless home hosts
+	// report them.
+	Loads *serverload.Table
 	// MaxClients limits the number of open sessions.
 	MaxClients int
 	// AbortAfter is the time after the start of a planned stop at which open
--- a/internal/host/heartbeats.go
+++ b/internal/host/heartbeats.go
@@ -11,6 +11,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/ownership"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
@@ -193,6 +194,9 @@
 			Position: statement.Position{Term: g.GetPosition().GetTerm(), Number: g.GetPosition().GetPosition()},
 		})
 	}
+	for _, l := range resp.GetLoads() {
+		c.recordLoad(sent, l)
+	}
 	for _, space := range resp.GetSpaces() {
 		c.applySpace(sent, req, space)
 	}
@@ -320,9 +324,26 @@
 			Position: &peerpb.Token{Group: s.Group, Term: s.Position.Term, Position: s.Position.Number},
 		})
 	}
+	now := a.calls.directory.clock()
+	for _, l := range a.calls.knownLoads(now, req.GetSync()) {
+		resp.Loads = append(resp.Loads, serverload.Encode(now, l))
+	}
 	return resp, nil
 }
 
+// knownLoads returns the loads of the servers of which this host is the home host and,
+// if all is set, the recent loads of the other servers.
+func (c *peerCalls) knownLoads(now time.Duration, all bool) []serverload.Load {
+	loads := c.executor.Loads()
+	if !all {
+		return loads
+	}
+	for _, l := range loads {
+		c.loads.Record(l)
+	}
+	return c.loads.Recent(now)
+}
+
 // spaceKnowledge returns what this host knows of a space, with the changes after the
 // revision of the peer if it has sent one. It returns nil before the space was read.
 func spaceKnowledge(space string, f *store.Follower, revisions map[string]uint64) *peerpb.SpaceKnowledge {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -29,6 +29,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/ownership"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
@@ -169,12 +170,13 @@
 		Clock: h.clock, Log: h.log, Counters: h.counters, Latencies: latencies,
 	})
 	h.executor = executor.New(executor.Options{
-		Dialer: a.Dialer, Authority: h.failover, Snapshot: h.catalog.Snapshot, IsHomeHost: h.directory.isHomeHost, Clock: h.clock, Log: h.log, Counters: h.counters,
+		Dialer: a.Dialer, Authority: h.failover, Snapshot: h.catalog.Snapshot, IsHomeHost: h.directory.isHomeHost,
+		ReportLoads: a.Features.ContentionControl || a.Features.ServerSupervision, Clock: h.clock, Log: h.log, Counters: h.counters,
 	}, rand.Uint64()>>1)
 	h.peerCalls = &peerCalls{
 		directory: h.directory, pool: peer.NewPool(nil, nil), executor: h.executor, failover: h.failover, counters: h.counters,
-		workers:  pond.NewPool(heartbeatWorkers, pond.WithQueueSize(heartbeatWorkers), pond.WithNonBlocking(true)),
-		suspects: map[string]bool{}, followers: map[string]*store.Follower{}, groupStates: map[string]receivedState{},
+		workers: pond.NewPool(heartbeatWorkers, pond.WithQueueSize(heartbeatWorkers), pond.WithNonBlocking(true)),
+		loads:   serverload.NewTable(), suspects: map[string]bool{}, followers: map[string]*store.Follower{}, groupStates: map[string]receivedState{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	followers := append(h.catalog.Followers(), h.ownership.Follower())
@@ -190,7 +192,7 @@
 	h.frontend = frontend.New(frontend.Options{
 		Listener: h.listeners[clientListener], NewClient: a.NewClient, Snapshot: h.catalog.Snapshot, KeysFresh: h.catalog.KeysFresh,
 		Fleet: h.peerCalls, Limiter: h.limiter, Clock: h.clock, Log: h.log, Counters: h.counters,
-		Latencies:  latencies,
+		Latencies: latencies, Loads: h.peerCalls.loads,
 		MaxClients: max(h.settings.Descriptors-reservedDescriptors, 1), AbortAfter: h.settings.StopGrace.Std()/2 + stopMargin/4,
 	})
 	h.peerCalls.frontend = h.frontend
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/alitto/pond/v2"
 	"google.golang.org/grpc"
@@ -17,6 +18,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
+	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -30,6 +32,8 @@
 	failover  *failover.Shell
 	frontend  *frontend.Frontend
 	counters  *telemetry.Counters
+	// loads holds the newest known loads of backend servers.
+	loads     *serverload.Table
 	workers   pond.Pool
 	followers map[string]*store.Follower
 
@@ -58,7 +62,11 @@
 	if h.Name == self.Name {
 		// The caller always receives an answer of its own process, also one that is
 		// late because the process was paused. The request's timeout bounds the call.
-		return c.executor.Execute(context.WithoutCancel(ctx), req), nil
+		resp := c.executor.Execute(context.WithoutCancel(ctx), req)
+		if load := resp.GetLoad(); load != nil {
+			c.recordLoad(c.directory.clock(), load)
+		}
+		return resp, nil
 	}
 	if !c.directory.ownership.Alive(h.Name) {
 		return nil, verdict.New(verdict.NotRun, verdict.HomeUnreachable, "no recent heartbeat from host %s", h.Name)
@@ -68,9 +76,11 @@
 		return nil, verdict.New(verdict.NotRun, verdict.HomeUnreachable, "host %s: %v", h.Name, err)
 	}
 	var p grpcpeer.Peer
+	sent := c.directory.clock()
 	resp, err := client.Execute(ctx, req, grpc.Peer(&p))
 	if err == nil {
 		c.connMonitor.recordAnswer(h.Address, c.directory.clock())
+		c.recordLoad(sent, resp.GetLoad())
 		return resp, nil
 	}
 	overdue := status.Code(err) == codes.DeadlineExceeded
@@ -87,6 +97,13 @@
 	return nil, verdict.New(verdict.MayHaveRun, verdict.ConnectionLost, "host %s: %v", h.Name, status.Convert(err).Message())
 }
 
+// recordLoad records the load in a message that was requested at asOf. The load may be nil.
+func (c *peerCalls) recordLoad(asOf time.Duration, load *peerpb.ServerLoad) {
+	if load != nil {
+		c.loads.Record(serverload.Decode(asOf, load))
+	}
+}
+
 // markSuspect makes the next round of heartbeats include the host.
 func (c *peerCalls) markSuspect(host string) {
 	c.mu.Lock()
