--- a/internal/cli/configure.go
+++ b/internal/cli/configure.go
@@ -35,6 +35,8 @@
 	a.jsonFlag(flags)
 	settings := flags.String(0, "settings", "", "host settings file to check against the configuration as well")
 	protocol := protocolFlag(flags)
+	line := lineSettings{}
+	line.addOverrides(flags)
 	return &ff.Command{
 		Name:      "check",
 		Usage:     "cranberryhinge check [--json] [--settings <FILE>] <DIRECTORY>",
@@ -45,7 +47,8 @@
 		Flags: flags,
 		Exec: func(_ context.Context, args []string) error {
 			if *protocol == protocolLine {
-				return a.checkLineSettings(*settings)
+				line.file = *settings
+				return a.checkLineSettings(line)
 			}
 			dir, err := oneArg(args, "the configuration directory")
 			if err != nil {
--- a/internal/cli/line.go
+++ b/internal/cli/line.go
@@ -36,19 +36,31 @@
 	return flagValue, nil
 }
 
-// loadLineSettings reads the settings of a host for the line protocol, and
-// returns them with their path.
-func loadLineSettings(flagValue string) (path string, s host.Settings, err error) {
-	if path, err = settingsPath(flagValue); err != nil {
+// lineSettings holds the flags that select the settings of a host for the line protocol.
+type lineSettings struct {
+	file string
+	// overrides are settings in the form NAME=VALUE that replace those of the file.
+	overrides []string
+}
+
+// addOverrides adds --set to a flag set.
+func (l *lineSettings) addOverrides(flags *ff.FlagSet) {
+	flags.StringListVar(&l.overrides, 0, "set", "NAME=VALUE, replaces a setting of the file; repeatable; --protocol line only")
+}
+
+// load reads the settings of a host for the line protocol, and returns them with their
+// path.
+func (l lineSettings) load() (path string, s host.Settings, err error) {
+	if path, err = settingsPath(l.file); err != nil {
 		return "", s, err
 	}
-	s, err = host.LoadSettings(path)
+	s, err = host.LoadSettings(path, l.overrides...)
 	return path, s, err
 }
 
 // checkLineSettings checks the settings of a host for the line protocol.
-func (a *app) checkLineSettings(flagValue string) error {
-	path, s, err := loadLineSettings(flagValue)
+func (a *app) checkLineSettings(l lineSettings) error {
+	path, s, err := l.load()
 	if err != nil {
 		return err
 	}
@@ -59,12 +71,12 @@
 
 // serveLineHost runs a host for the line protocol until ctx ends. SIGHUP makes
 // the host reload its settings.
-func (a *app) serveLineHost(ctx context.Context, flagValue string) error {
+func (a *app) serveLineHost(ctx context.Context, l lineSettings) error {
 	// Without a handler, SIGHUP ends the process.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	path, s, err := loadLineSettings(flagValue)
+	_, s, err := l.load()
 	if err != nil {
 		return err
 	}
@@ -76,7 +88,10 @@
 	go func() {
 		for range hup {
 			select {
-			case reload <- func() (host.Settings, error) { return host.LoadSettings(path) }:
+			case reload <- func() (host.Settings, error) {
+				_, s, err := l.load()
+				return s, err
+			}:
 			case <-ctx.Done():
 				return
 			}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -17,16 +17,19 @@
 	flags := ff.NewFlagSet("serve")
 	settings := flags.String(0, "settings", "", "YAML file with this host's settings")
 	protocol := protocolFlag(flags)
+	line := lineSettings{}
+	line.addOverrides(flags)
 	return &ff.Command{
 		Name:      "serve",
-		Usage:     "cranberryhinge serve [--protocol <PROTOCOL>] --settings <FILE>",
+		Usage:     "cranberryhinge serve [--protocol <PROTOCOL>] --settings <FILE> [--set <NAME=VALUE> ...]",
 		ShortHelp: "run one host",
 		LongHelp: "The host stops gracefully on SIGTERM and SIGINT: it hands its roles over, refuses new\n" +
 			"sessions and lets open transactions end.\n\nEXAMPLE\n  cranberryhinge serve --settings examples/host.yaml",
 		Flags: flags,
 		Exec: func(ctx context.Context, _ []string) error {
 			if *protocol == protocolLine {
-				return a.serveLineHost(ctx, *settings)
+				line.file = *settings
+				return a.serveLineHost(ctx, line)
 			}
 			if *settings == "" {
 				return usagef("--settings is missing")
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -75,9 +75,10 @@
 	Metrics   string `yaml:"metrics"`
 }
 
-// LoadSettings reads settings from a YAML file and checks them. Unknown fields are
-// errors. An empty listen.advertise becomes listen.peer.
-func LoadSettings(path string) (Settings, error) {
+// LoadSettings reads settings from a YAML file, applies the overrides and checks the
+// result. Unknown fields are errors. An override has the form NAME=VALUE, with a value in
+// YAML; an empty one is ignored. An empty listen.advertise becomes listen.peer.
+func LoadSettings(path string, overrides ...string) (Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "read settings")
@@ -86,6 +87,18 @@
 	if err := config.DecodeStrict(path, data, &s); err != nil {
 		return Settings{}, err
 	}
+	for _, o := range overrides {
+		name, value, ok := strings.Cut(o, "=")
+		if o == "" || ok && value == "" {
+			continue
+		}
+		if !ok || strings.ContainsAny(o, "\r\n") {
+			return Settings{}, errors.Errorf("override %q of a setting is not NAME=VALUE", o)
+		}
+		if err := config.DecodeStrict("--set "+name, []byte(name+": "+value), &s); err != nil {
+			return Settings{}, err
+		}
+	}
 	if s.Listen.Advertise == "" {
 		s.Listen.Advertise = s.Listen.Peer
 	}
--- a/internal/host/settings_test.go
+++ b/internal/host/settings_test.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
@@ -112,3 +113,22 @@
 	assert.Equal(t, x.log.Level, log.InfoLevel)
 	assert.Equal(t, x.counters.Get("settings_reload_failed"), int64(2))
 }
+
+// Guards against overrides that are lost or accepted although they name no setting, and
+// against an empty one, which a deployment without the value passes.
+func TestOverridesOfSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "host.yaml")
+	data, err := os.ReadFile("../../examples/line-host.yaml")
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(path, data, 0o600))
+	s, err := LoadSettings(path, "requirements=[a,b]", "memory_mb=99", "", "rate_window=")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s.Requirements, []string{"a", "b"})
+	assert.Equal(t, s.MemoryMB, 99)
+	assert.Equal(t, s.RateWindow.Std(), 5*time.Second)
+	assert.Equal(t, s.Name, "kolkata-1")
+	for _, bad := range []string{"memory=1", "memory_mb", "memory_mb=1\nname: x", "memory_mb=-1"} {
+		_, err := LoadSettings(path, bad)
+		assert.Assert(t, err != nil, bad)
+	}
+}
