Tell other hosts where the terms of a group began

Owners report the newest eight positions with the state of the group; every host keeps them for its own machine. TestNewOwnerKnowsRolledBackCommits: without LearnTermStarts the diverged server c is promoted.

--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -154,9 +154,10 @@
 	lastPosition    statement.Position
 	positionCurrent bool
 	// firstPosition is the position with which the primary began its term; zero if this
-	// host did not see the promotion. termStarts are the promotions that it saw.
+	// host did not see the promotion. termStarts are the known promotions by term, oldest
+	// first.
 	firstPosition statement.Position
-	termStarts    []termStart
+	termStarts    []TermStart
 	failedPolls   int
 	refusedPolls  int
 	// planned is set while a working primary is being replaced.
--- a/internal/failover/shell.go
+++ b/internal/failover/shell.go
@@ -428,6 +428,19 @@
 	Position statement.Position
 	// Age is the time since the poll or statement that returned Position was sent.
 	Age time.Duration
+	// TermStarts are the newest promotions that the owner knows.
+	TermStarts []TermStart
+}
+
+// LearnTermStarts records promotions that the owner of a group has reported, for the
+// case that this host takes the group over.
+func (s *Shell) LearnTermStarts(name string, starts []TermStart) {
+	if len(starts) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stateOf(name).machine.LearnTermStarts(starts)
 }
 
 // States returns the states of the groups that this host owns.
@@ -440,7 +453,7 @@
 		}
 		s.mu.Lock()
 		if g, ok := s.groups[name]; ok {
-			st := State{Group: name, Epoch: epoch}
+			st := State{Group: name, Epoch: epoch, TermStarts: g.machine.TermStarts()}
 			if primary, leading := g.machine.Primary(); leading {
 				st.Primary, st.Position = primary, g.newestSample.position
 				st.Age = s.opt.Clock() - g.newestSample.polledAt
--- a/internal/failover/successor.go
+++ b/internal/failover/successor.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -101,27 +102,57 @@
 	return c.floor, c.busyAt >= m.searchSince && !c.floor.IsZero()
 }
 
-// termStart is a promotion that this host has seen: the new term, and the position with
-// which it began.
-type termStart struct {
-	term  uint64
-	first statement.Position
+// TermStart is a promotion: the new term, and the position with which it began.
+type TermStart struct {
+	Term  uint64
+	First statement.Position
 }
 
-// maxTermStarts limits the promotions that are remembered.
-const maxTermStarts = 64
+const (
+	// maxTermStarts limits the promotions that are remembered.
+	maxTermStarts = 64
+	// sharedTermStarts is the number of promotions that owners report to other hosts.
+	sharedTermStarts = 8
+)
+
+// LearnTermStarts adds promotions that former owners of the group have reported. If a
+// term is known with two positions, the lower one holds: a server is then rather left
+// out than promoted with commits that were rolled back.
+func (m *Machine) LearnTermStarts(starts []TermStart) {
+	for _, s := range starts {
+		if s.Term == 0 || s.First.IsZero() {
+			continue
+		}
+		i, known := slices.BinarySearchFunc(m.termStarts, s.Term, func(x TermStart, term uint64) int { return cmp.Compare(x.Term, term) })
+		switch {
+		case !known:
+			m.termStarts = slices.Insert(m.termStarts, i, s)
+		case s.First.Less(m.termStarts[i].First):
+			m.termStarts[i].First = s.First
+		}
+	}
+	m.trimTermStarts()
+}
+
+func (m *Machine) trimTermStarts() {
+	m.termStarts = m.termStarts[max(0, len(m.termStarts)-maxTermStarts):]
+}
+
+// TermStarts returns the newest promotions that are known, oldest first.
+func (m *Machine) TermStarts() []TermStart {
+	return slices.Clone(m.termStarts[max(0, len(m.termStarts)-sharedTermStarts):])
+}
 
 // recordTerm records the term of a new primary. Nothing is written in a new term before
 // this host uses the primary, so that its first report has the position with which the
 // term began.
 func (m *Machine) recordTerm(s statement.Status) {
 	m.firstPosition = statement.Position{}
-	if n := len(m.termStarts); n > 0 && m.termStarts[n-1].term == s.Term {
-		m.firstPosition = m.termStarts[n-1].first
+	if n := len(m.termStarts); n > 0 && m.termStarts[n-1].Term == s.Term {
+		m.firstPosition = m.termStarts[n-1].First
 	} else if m.promotesReplica {
 		m.firstPosition = s.Position
-		m.termStarts = append(m.termStarts, termStart{s.Term, s.Position})
-		m.termStarts = m.termStarts[max(0, len(m.termStarts)-maxTermStarts):]
+		m.LearnTermStarts([]TermStart{{s.Term, s.Position}})
 	}
 }
 
@@ -129,7 +160,7 @@
 // back. A server that was out of reach during the promotion keeps them until it follows
 // the new primary.
 func (m *Machine) isDiverged(p statement.Position) bool {
-	return slices.ContainsFunc(m.termStarts, func(s termStart) bool { return p.Term < s.term && !contains(s.first, p) })
+	return slices.ContainsFunc(m.termStarts, func(s TermStart) bool { return p.Term < s.Term && !contains(s.First, p) })
 }
 
 // mostAdvanced returns the server with the highest known position among those that may
--- a/internal/failover/successor_test.go
+++ b/internal/failover/successor_test.go
@@ -356,6 +356,38 @@
 	assert.Equal(t, c.primary(), "")
 }
 
+// Guards against the same after the group has moved to another host, which has seen
+// none of the promotions.
+func TestNewOwnerKnowsRolledBackCommits(t *testing.T) {
+	c := newFakeCluster(t)
+	c.rollBackCommitsOf("c")
+	starts := c.m.TermStarts()
+	c.m = NewMachine()
+	c.m.LearnTermStarts(starts)
+	c.pendingPoll = nil
+	c.epoch += 2
+	c.run(5 * time.Second)
+	assert.Equal(t, c.primary(), "")
+	c.status["b"] = statement.Status{Term: 2, Position: statement.Position{Term: 2, Number: 9}}
+	c.down["b"] = false
+	c.run(2 * time.Second)
+	assert.Equal(t, c.primary(), "b")
+}
+
+// Guards against reports of promotions that arrive late, twice or in another order.
+func TestTermStartsAreMergedByTerm(t *testing.T) {
+	at := func(n uint64) statement.Position { return statement.Position{Term: 1, Number: n} }
+	m := NewMachine()
+	m.LearnTermStarts([]TermStart{{4, at(40)}, {2, at(20)}, {0, at(1)}, {3, statement.Position{}}})
+	m.LearnTermStarts([]TermStart{{3, at(30)}, {2, at(25)}, {4, at(38)}})
+	assert.DeepEqual(t, m.TermStarts(), []TermStart{{2, at(20)}, {3, at(30)}, {4, at(38)}})
+	for term := range uint64(2 * maxTermStarts) {
+		m.LearnTermStarts([]TermStart{{term + 10, at(50 + term)}})
+	}
+	assert.Equal(t, len(m.termStarts), maxTermStarts)
+	assert.Equal(t, len(m.TermStarts()), sharedTermStarts)
+}
+
 // Guards against a group that has no primary for good when no other server is left.
 func TestDivergedServerIsTheLastResort(t *testing.T) {
 	c := newFakeCluster(t)
--- a/internal/host/heartbeats.go
+++ b/internal/host/heartbeats.go
@@ -191,7 +191,8 @@
 	for _, g := range resp.GetGroups() {
 		c.recordGroupState(sent, failover.State{
 			Group: g.GetGroup(), Epoch: g.GetEpoch(), Primary: g.GetPrimary(), Age: time.Duration(g.GetAgeUs()) * time.Microsecond,
-			Position: statement.Position{Term: g.GetPosition().GetTerm(), Number: g.GetPosition().GetPosition()},
+			Position:   statement.Position{Term: g.GetPosition().GetTerm(), Number: g.GetPosition().GetPosition()},
+			TermStarts: termStartsFromProto(g.GetTermStarts()),
 		})
 	}
 	for _, l := range resp.GetLoads() {
@@ -270,6 +271,7 @@
 	if newer {
 		c.directory.recordPrimary(s.Group, s.Primary, s.Epoch)
 	}
+	c.failover.LearnTermStarts(s.Group, s.TermStarts)
 }
 
 // knownStates returns the states of this host's groups and, if all is set, of the other
@@ -321,7 +323,8 @@
 	for _, s := range a.calls.knownStates(req.GetSync()) {
 		resp.Groups = append(resp.Groups, &peerpb.GroupState{
 			Group: s.Group, Epoch: s.Epoch, Primary: s.Primary, AgeUs: peer.CeilMicroseconds(s.Age),
-			Position: &peerpb.Token{Group: s.Group, Term: s.Position.Term, Position: s.Position.Number},
+			Position:   &peerpb.Token{Group: s.Group, Term: s.Position.Term, Position: s.Position.Number},
+			TermStarts: termStartsToProto(s.TermStarts),
 		})
 	}
 	now := a.calls.directory.clock()
@@ -388,3 +391,19 @@
 func packedFromProto(p *peerpb.PackedBeats) ownership.PackedHeartbeats {
 	return ownership.PackedHeartbeats{IDs: p.GetHosts(), Counters: p.GetCounters()}
 }
+
+func termStartsToProto(starts []failover.TermStart) []*peerpb.TermStart {
+	out := make([]*peerpb.TermStart, len(starts))
+	for i, s := range starts {
+		out[i] = &peerpb.TermStart{Term: s.Term, PositionTerm: s.First.Term, Position: s.First.Number}
+	}
+	return out
+}
+
+func termStartsFromProto(starts []*peerpb.TermStart) []failover.TermStart {
+	out := make([]failover.TermStart, len(starts))
+	for i, s := range starts {
+		out[i] = failover.TermStart{Term: s.GetTerm(), First: statement.Position{Term: s.GetPositionTerm(), Number: s.GetPosition()}}
+	}
+	return out
+}
