Use fixed flow control windows between hosts

gRPC estimated the bandwidth of each connection with a ping per message, which doubled the packets and system calls of a statement that goes to another host.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -35,6 +35,11 @@
 	// bufferBytes is the size of the read buffer of a connection, and of the write
 	// buffer while it is in use. Most messages have a few hundred bytes.
 	bufferBytes = 8 << 10
+	// streamWindowBytes and connWindowBytes are the flow control windows. With fixed
+	// windows gRPC does not measure the bandwidth, for which it would send a ping with
+	// every message.
+	streamWindowBytes = 256 << 10
+	connWindowBytes   = 1 << 20
 	// maxMessageBytes is larger than the largest accepted frontend message of a
 	// client.
 	maxMessageBytes = 20 << 20
@@ -95,6 +100,8 @@
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithInitialWindowSize(streamWindowBytes),
+		grpc.WithInitialConnWindowSize(connWindowBytes),
 	}
 	if p.dial != nil {
 		options = append(options, grpc.WithContextDialer(p.dial))
@@ -142,5 +149,7 @@
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
+		grpc.InitialWindowSize(streamWindowBytes),
+		grpc.InitialConnWindowSize(connWindowBytes),
 	}
 }
