State the conditions for a successor once

mostAdvanced repeated isEligible, and two places compared busyAt with the start of the search; while no search was on, a silent server was logged as busy. pollsInFlight held times that nothing read.

--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -126,7 +126,8 @@
 	group         Group
 	reports       map[string]serverReport
 	contacts      map[string]*serverContact
-	pollsInFlight map[string]time.Duration
+	// pollsInFlight holds the servers whose status is being polled.
+	pollsInFlight map[string]bool
 	backoffUntil  map[string]time.Duration
 	// usableSince is the time since which this host may use the group's role, 0 while
 	// it may not.
@@ -180,7 +181,7 @@
 func NewMachine() *Machine {
 	return &Machine{
 		reports: map[string]serverReport{}, contacts: map[string]*serverContact{},
-		pollsInFlight: map[string]time.Duration{}, backoffUntil: map[string]time.Duration{},
+		pollsInFlight: map[string]bool{}, backoffUntil: map[string]time.Duration{},
 	}
 }
 
@@ -286,10 +287,10 @@
 
 // pollServer polls a server unless a poll of it is in flight.
 func (m *Machine) pollServer(now time.Duration, server string) {
-	if _, inFlight := m.pollsInFlight[server]; inFlight {
+	if m.pollsInFlight[server] {
 		return
 	}
-	m.pollsInFlight[server], m.contact(server).polledAt = now, now
+	m.pollsInFlight[server], m.contact(server).polledAt = true, now
 	m.actions = append(m.actions, Poll{Server: server})
 }
 
@@ -336,9 +337,10 @@
 	return best, best != ""
 }
 
-// isEligible reports whether a server may be promoted. The server except is excluded.
-func (m *Machine) isEligible(now time.Duration, x Member, except string) bool {
-	return x.Usable && x.Name != except && now >= m.backoffUntil[x.Name]
+// isEligible reports whether a server may be promoted. The server except is excluded, and
+// unless leaving is set, so are servers that may not get new work.
+func (m *Machine) isEligible(now time.Duration, x Member, except string, leaving bool) bool {
+	return (x.Usable || leaving) && x.Name != except && now >= m.backoffUntil[x.Name]
 }
 
 // startPromotion orders the promotion of the server. If an order was already sent in
@@ -468,7 +470,7 @@
 func (m *Machine) successorCount(now time.Duration) int {
 	n := 0
 	for _, x := range m.group.Members {
-		if m.isEligible(now, x, m.primary) {
+		if m.isEligible(now, x, m.primary, false) {
 			n++
 		}
 	}
--- a/internal/failover/successor.go
+++ b/internal/failover/successor.go
@@ -98,8 +98,14 @@
 	if m.reported(server) {
 		return m.reports[server].status.Position, true
 	}
-	c := m.contact(server)
-	return c.floor, c.busyAt >= m.searchSince && !c.floor.IsZero()
+	floor := m.contact(server).floor
+	return floor, m.answeredBusy(server) && !floor.IsZero()
+}
+
+// answeredBusy reports whether the server was too busy to answer a poll that was sent
+// since the search for a successor began.
+func (m *Machine) answeredBusy(server string) bool {
+	return m.searchSince != 0 && m.contact(server).busyAt >= m.searchSince
 }
 
 // TermStart is a promotion: the new term, and the position with which it began.
@@ -171,10 +177,7 @@
 	usable := false
 	for _, x := range m.group.Members {
 		p, alive := m.knownPosition(x.Name)
-		if !alive || x.Name == except || now < m.backoffUntil[x.Name] || !x.Usable && !leaving {
-			continue
-		}
-		if m.isDiverged(p) && now-m.searchSince < divergedTimeout {
+		if !alive || !m.isEligible(now, x, except, leaving) || m.isDiverged(p) && now-m.searchSince < divergedTimeout {
 			continue
 		}
 		if server == "" || best.Less(p) || p == best && x.Usable && !usable {
@@ -210,7 +213,7 @@
 // position, and is not known to be down.
 func (m *Machine) awaitsReport(now time.Duration, except string) bool {
 	for _, x := range m.group.Members {
-		if m.isEligible(now, x, except) && !m.reported(x.Name) && m.contact(x.Name).refusedAt < m.searchSince {
+		if m.isEligible(now, x, except, false) && !m.reported(x.Name) && m.contact(x.Name).refusedAt < m.searchSince {
 			return true
 		}
 	}
@@ -327,7 +330,7 @@
 			state = "diverged"
 		case m.reported(x.Name):
 			state = "reported"
-		case alive || m.contact(x.Name).busyAt >= m.searchSince:
+		case alive || m.answeredBusy(x.Name):
 			state = "busy"
 		}
 		out = append(out, fmt.Sprintf("%s %s %d.%d in term %d", x.Name, state, p.Term, p.Number, m.reports[x.Name].status.Term))
