--- a/internal/customer/model_test.go
+++ b/internal/customer/model_test.go
@@ -31,17 +31,19 @@
 
 // model is a fleet of minters and spenders on a faulty network.
 type model struct {
-	rng          *rand.Rand
-	now          time.Duration
-	events       []event
-	limit        Limit
-	zones        []string
-	protections  protections
-	minters      map[string]*Minter
-	replaced     map[string]*Minter // minters of previous holders, by zone
-	spenders     []*spenderHost
-	admitted     []time.Duration
-	refused      int
+	rng         *rand.Rand
+	now         time.Duration
+	events      []event
+	limit       Limit
+	zones       []string
+	protections protections
+	minters     map[string]*Minter
+	replaced    map[string]*Minter // minters of previous holders, by zone
+	spenders    []*spenderHost
+	admitted    []time.Duration
+	refused     int
+	// minterCalls counts grant requests and settlements.
+	minterCalls  int
 	lossyNetwork bool
 }
 
@@ -131,6 +133,7 @@
 }
 
 func (m *model) sendGrantRequest(h *spenderHost, a RequestGrant) {
+	m.minterCalls++
 	if m.loseMessage() {
 		return
 	}
@@ -139,7 +142,7 @@
 		if prev, ok := m.replaced[a.Zone]; ok && m.rng.IntN(2) == 0 {
 			minter = prev
 		}
-		id, amount := minter.Grant(m.now, a.Amount, GrantValidity)
+		id, amount := minter.Grant(m.now, a.Amount, min(a.Validity, GrantValidity))
 		available := minter.Available(m.now)
 		if !m.protections.reservation {
 			minter.Settle(m.now, id, 0)
@@ -151,6 +154,7 @@
 }
 
 func (m *model) settle(a Settle) {
+	m.minterCalls++
 	if m.loseMessage() {
 		return
 	}
@@ -203,14 +207,17 @@
 // times in which the buckets fill. Hosts pause while grants for them are in flight,
 // minters are replaced, and messages are lost or delayed.
 func faultyRun(seed uint64, limit Limit, zones, hosts int, enabled protections) *model {
+	return runWithFaults(newModel(seed, limit, zones, hosts, enabled))
+}
+
+func runWithFaults(m *model) *model {
 	const length = 4 * time.Second
-	m := newModel(seed, limit, zones, hosts, enabled)
 	m.lossyNetwork = true
 	for t := time.Duration(0); t < length; t += time.Duration(50+m.rng.IntN(600)) * time.Millisecond {
 		m.burst(t)
 	}
 	for range m.rng.IntN(5) {
-		zone := m.zones[m.rng.IntN(zones)]
+		zone := m.zones[m.rng.IntN(len(m.zones))]
 		m.scheduleAt(time.Duration(m.rng.Int64N(int64(length))), func() { m.takeover(zone) })
 	}
 	m.runUntil(length)
@@ -242,7 +249,11 @@
 			Burst: float64(rapid.IntRange(1, 100).Draw(t, "burst")),
 		}
 		zones := rapid.IntRange(1, 5).Draw(t, "zones")
-		m := faultyRun(rapid.Uint64().Draw(t, "seed"), limit, zones, rapid.IntRange(1, 9).Draw(t, "hosts"), allProtections)
+		m := newModel(rapid.Uint64().Draw(t, "seed"), limit, zones, rapid.IntRange(1, 9).Draw(t, "hosts"), allProtections)
+		if rapid.Bool().Draw(t, "short timeouts") {
+			m.shortenTimeouts()
+		}
+		runWithFaults(m)
 		if exceedsLimit(m.admitted, limit) {
 			t.Fatalf("%d admitted over the limit", len(m.admitted))
 		}
--- a/internal/customer/spender.go
+++ b/internal/customer/spender.go
@@ -28,6 +28,9 @@
 	// responded that it no longer holds the minter role. The new holder is known
 	// within one or two heartbeats.
 	movedRetryDelay = 50 * time.Millisecond
+	// maxEmptyPauses limits the time for which a zone without tokens is not asked, as a
+	// multiple of the maximum wait of a request.
+	maxEmptyPauses = 4
 	// minRoundPause bounds the rate of grant requests while no zone has tokens.
 	minRoundPause = 5 * time.Millisecond
 )
@@ -35,12 +38,14 @@
 // Action is an action that the caller performs for a Spender.
 type Action interface{ isAction() }
 
-// RequestGrant requests tokens from the minter of a zone. Ticket identifies the grant
-// request and is passed to HandleGrant or HandleFailure.
+// RequestGrant requests tokens from the minter of a zone, which may be spent for the time
+// Validity after the request is sent. Ticket identifies the grant request and is passed to
+// HandleGrant or HandleFailure.
 type RequestGrant struct {
-	Zone   string
-	Amount Amount
-	Ticket uint64
+	Zone     string
+	Amount   Amount
+	Ticket   uint64
+	Validity time.Duration
 }
 
 // Admit admits a request.
@@ -89,6 +94,21 @@
 type zoneState struct {
 	reportedTokens Amount
 	skipUntil      time.Duration // no grant request is sent before
+	// emptyUntil is the time before which the zone is expected to have no tokens,
+	// emptyPause the time for which that was assumed after the last grant request.
+	emptyUntil, emptyPause time.Duration
+}
+
+// recordAnswer records whether the zone granted the full amount. A zone that did not is
+// not asked again for a pause, which doubles each time: many hosts ask for the tokens of a
+// customer that exceeds its rate.
+func (z *zoneState) recordAnswer(now time.Duration, full bool, maxPause time.Duration) {
+	if full {
+		z.emptyUntil, z.emptyPause = 0, 0
+		return
+	}
+	z.emptyPause = min(max(2*z.emptyPause, minRoundPause), maxPause)
+	z.emptyUntil = now + z.emptyPause
 }
 
 // Spender admits one customer's requests on one entry host. It requests as many
@@ -113,6 +133,8 @@
 	// validity is the time after sending a grant request for which this host
 	// honours the grant.
 	validity time.Duration
+	// expireSpent is set if spent grants are not settled, because they expire soon.
+	expireSpent bool
 }
 
 // NewSpender returns a Spender for an entry host in the zone ownZone.
@@ -123,9 +145,12 @@
 }
 
 // SetTimeouts changes the time for which a request may wait for tokens and the time
-// that a zone has to answer a grant request.
+// that a zone has to answer a grant request. Grants are then valid no longer than both
+// together, and a grant that was spent in full is not settled: it expires about as soon,
+// and a settlement costs as much as a grant request.
 func (s *Spender) SetTimeouts(maxWait, zoneTimeout time.Duration) {
 	s.maxWait, s.zoneTimeout = maxWait, zoneTimeout
+	s.validity, s.expireSpent = min(maxWait+zoneTimeout, GrantValidity), true
 }
 
 // SetZones changes the zones that have minters and the customer's limit.
@@ -186,6 +211,7 @@
 	s.outstanding = nil
 	if z, ok := s.zones[request.zone]; ok {
 		z.reportedTokens = available
+		z.recordAnswer(now, amount >= request.amount, maxEmptyPauses*s.maxWait)
 	}
 	if amount >= request.amount {
 		// The zone granted the full amount. Requests that arrived in the meantime
@@ -298,7 +324,7 @@
 		need -= take
 	}
 	s.grants = slices.DeleteFunc(s.grants, func(h heldGrant) bool {
-		if h.remaining == 0 {
+		if h.remaining == 0 && !s.expireSpent {
 			actions = append(actions, Settle{Zone: h.zone, Grant: h.id})
 		}
 		return h.remaining == 0
@@ -351,10 +377,10 @@
 		s.roundZones = s.roundZones[1:]
 		s.lastTicket++
 		s.outstanding = &grantRequest{zone: zone, ticket: s.lastTicket, amount: need, sent: now}
-		return append(actions, RequestGrant{Zone: zone, Amount: need, Ticket: s.lastTicket})
+		return append(actions, RequestGrant{Zone: zone, Amount: need, Ticket: s.lastTicket, Validity: s.validity})
 	}
 	s.roundZones = nil
-	s.nextRoundAt = now + s.roundPause()
+	s.nextRoundAt = max(now+s.roundPause(), s.firstRefill())
 	return s.returnGrants(actions)
 }
 
@@ -368,20 +394,34 @@
 	return max(minRoundPause, min(s.maxWait, time.Duration(missing/s.rate*float64(time.Second))))
 }
 
+// firstRefill returns the first time at which a zone may have tokens again.
+func (s *Spender) firstRefill() time.Duration {
+	first := time.Duration(0)
+	for _, z := range s.zones {
+		if at := max(z.emptyUntil, z.skipUntil); first == 0 || at < first {
+			first = at
+		}
+	}
+	return first
+}
+
+// canAsk reports whether a grant request to the zone may be answered with tokens.
+func (z *zoneState) canAsk(now time.Duration) bool { return z.skipUntil <= now && z.emptyUntil <= now }
+
 // planRound returns the zones of a round in order: the zone of this host first,
 // then the others in descending order of the tokens that they last reported.
 // Zones that are to be skipped are left out.
 func (s *Spender) planRound(now time.Duration) []string {
 	order := make([]string, 0, len(s.sortedZones))
 	for _, z := range s.sortedZones {
-		if z != s.ownZone && s.zones[z].skipUntil <= now {
+		if z != s.ownZone && s.zones[z].canAsk(now) {
 			order = append(order, z)
 		}
 	}
 	slices.SortStableFunc(order, func(a, b string) int {
 		return int(int64(s.zones[b].reportedTokens) - int64(s.zones[a].reportedTokens))
 	})
-	if ownState, ok := s.zones[s.ownZone]; ok && ownState.skipUntil <= now {
+	if ownState, ok := s.zones[s.ownZone]; ok && ownState.canAsk(now) {
 		order = append([]string{s.ownZone}, order...)
 	}
 	return order
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -257,7 +257,7 @@
 	req := &peerpb.GrantRequest{
 		Customer: a.name,
 		Amount:   uint64(request.Amount),
-		ValidUs:  customer.GrantValidity.Microseconds(),
+		ValidUs:  request.Validity.Microseconds(),
 		Role:     customer.MinterRole(request.Zone, a.name),
 	}
 	a.submit(func() {
