Report the usage of each customer by a fenced reporter

Change: package usage counts at the home hosts and reports each window by the holder of the role usage. Counts are fixed in a row of the store before they are sent. New peer call Usage; settings usage_window, usage_late and usage_lease; stand-in and soak judge the reports.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -17,6 +17,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+	"github.com/cranberryhinge/cranberryhinge/internal/usage"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
 
@@ -70,6 +71,9 @@
 	Snapshot  func() *catalog.Snapshot
 	// IsHomeHost reports whether this host is the home host of a server.
 	IsHomeHost func(server string) bool
+	// Usage counts the requests that begin to run at the servers; nil if they are not
+	// counted.
+	Usage *usage.Counter
 	// ReportLoads adds the load of the server to the response of a statement.
 	ReportLoads bool
 	Clock       clock.Clock
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -17,6 +17,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+	"github.com/cranberryhinge/cranberryhinge/internal/usage"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
 
@@ -449,3 +450,44 @@
 		assert.Assert(t, f.do(read()).GetFailure() == nil)
 	}
 }
+
+// Guards against usage counts that count a transaction or a retried statement more than
+// once, or a statement that did not run.
+func TestUsageCountsOperationsThatRun(t *testing.T) {
+	f := newFixture(t)
+	f.x.opt.Usage = usage.NewCounter(f.x.opt.Clock, time.Minute, telemetry.NewCounters())
+	var refusals int
+	var refuse *verdict.Error
+	f.server.failWith = func(*fakeConn, statement.Command) *verdict.Error {
+		if refusals == 0 {
+			return nil
+		}
+		refusals--
+		return refuse
+	}
+	count := func() int64 { return f.x.opt.Usage.Count(0, time.Hour)["c"] }
+	f.do(read())
+	assert.Equal(t, count(), int64(1))
+	// A transaction of two statements and a COMMIT.
+	first := read()
+	first.BeginId, first.BeginText = "0", "BEGIN READ"
+	resp := f.do(first)
+	assert.Assert(t, resp.GetTransaction() != 0)
+	f.do(&peerpb.ExecuteRequest{Kind: uint32(statement.Read), Id: "2", Text: "READ b", Transaction: resp.GetTransaction()})
+	f.do(&peerpb.ExecuteRequest{Kind: uint32(statement.Commit), Id: "3", Text: "COMMIT", Transaction: resp.GetTransaction()})
+	assert.Equal(t, count(), int64(2))
+	// The server has no free slot twice and runs the third try.
+	refusals, refuse = 2, verdict.New(verdict.NotRun, verdict.ServerBusy, "busy")
+	f.do(read())
+	assert.Equal(t, count(), int64(3))
+	// The replica is behind: nothing ran.
+	refusals, refuse = 1, verdict.New(verdict.NotRun, verdict.ReadOnly, "read-only")
+	f.do(write())
+	assert.Equal(t, count(), int64(3))
+	// The statement ran and failed, or its answer was lost.
+	refusals, refuse = 1, verdict.New(verdict.Ran, verdict.StatementFailed, "failed")
+	f.do(read())
+	f.server.dropsAnswer = func(statement.Command) bool { return true }
+	f.do(read())
+	assert.Equal(t, count(), int64(5))
+}
--- a/internal/executor/prepare.go
+++ b/internal/executor/prepare.go
@@ -19,7 +19,7 @@
 		if err := c.prepareConn(tx); err != nil {
 			return statement.Result{}, err
 		}
-		results, err := c.exchange(tx, c.newCommand(inTx))
+		results, err := c.exchangeCounted(tx, c.newCommand(inTx))
 		if err != nil {
 			return statement.Result{}, err
 		}
@@ -35,6 +35,22 @@
 	}
 }
 
+// exchangeCounted is exchange for the client's statement. It counts the request of a
+// statement outside a transaction, or of the first one inside, unless the server did not
+// run it.
+func (c *call) exchangeCounted(tx *transaction, cmd statement.Command) ([]statement.Result, error) {
+	if c.req.GetTransaction() != 0 {
+		return c.exchange(tx, cmd)
+	}
+	ticket := c.x.opt.Usage.Begin(c.req.GetCustomer())
+	results, err := c.exchange(tx, cmd)
+	if err != nil && verdict.From(err).Verdict == verdict.NotRun ||
+		err == nil && results[0].Err != nil && results[0].Err.Verdict == verdict.NotRun {
+		c.x.opt.Usage.NotRun(ticket)
+	}
+	return results, err
+}
+
 // canRetry reports whether the statement did not run and can be retried on the same
 // connection.
 func (c *call) canRetry(tx *transaction, inTx bool, r statement.Result) bool {
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -15,6 +15,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/ownership"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/usage"
 )
 
 // viewMaxAge is how long a computed view of a group is cached. Liveness changes
@@ -26,6 +27,8 @@
 	self  ownership.Host
 	zones []string
 	clock clock.Clock
+	// reportsUsage adds the role of the host that reports usage.
+	reportsUsage bool
 	// snapshot returns the current snapshot of the catalog.
 	snapshot  func() *catalog.Snapshot
 	ownership *ownership.Shell
@@ -172,7 +175,8 @@
 }
 
 // wantedRoles returns the roles that need a holder: one for each group, preferably
-// in the zone of its primary, and the minter roles of every zone.
+// in the zone of its primary, the minter roles of every zone, and that of the host that
+// reports usage.
 func (d *directory) wantedRoles() []ownership.RoleSpec {
 	s := d.snapshot()
 	var specs []ownership.RoleSpec
@@ -190,9 +194,21 @@
 			specs = append(specs, ownership.RoleSpec{Name: role, Zone: z})
 		}
 	}
+	if d.reportsUsage {
+		specs = append(specs, ownership.RoleSpec{Name: usage.Role})
+	}
 	return specs
 }
 
+// usageHosts returns all hosts, which count requests.
+func (d *directory) usageHosts() []usage.Host {
+	hosts := []usage.Host{{Name: d.self.Name, Address: d.self.Address, Incarnation: d.self.Incarnation, Alive: true}}
+	for _, h := range d.ownership.Others() {
+		hosts = append(hosts, usage.Host{Name: h.Name, Address: h.Address, Incarnation: h.Incarnation, Alive: d.ownership.Alive(h.Name)})
+	}
+	return hosts
+}
+
 // pollUntil evaluates done once per interval until it returns true or ctx ends.
 func pollUntil(ctx context.Context, interval time.Duration, done func() bool) {
 	for !done() && clock.Sleep(ctx, interval) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -33,6 +33,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+	"github.com/cranberryhinge/cranberryhinge/internal/usage"
 )
 
 const (
@@ -76,6 +77,8 @@
 	Dialer    statement.Dialer
 	NewClient func(net.Conn) statement.Client
 	Promoter  failover.Promoter
+	// UsageReporter is needed if the settings turn usage reports on.
+	UsageReporter usage.Reporter
 	// ReadyPath is the URL path of the readiness probe.
 	ReadyPath string
 	// Features are the optional parts that the deployment asks for.
@@ -94,6 +97,8 @@
 	directory *directory
 	failover  *failover.Shell
 	executor  *executor.Executor
+	// usage is nil if usage is not reported.
+	usage     *usage.Shell
 	frontend  *frontend.Frontend
 	minters   *limit.Minters
 	limiter   *limit.Limiter
@@ -152,7 +157,7 @@
 	latencies := telemetry.NewLatencies(h.counters)
 	h.directory = &directory{
 		self: self, zones: h.settings.Zones, clock: h.clock,
-		views: map[string]cachedView{}, primaries: map[string]reportedPrimary{},
+		views: map[string]cachedView{}, primaries: map[string]reportedPrimary{}, reportsUsage: h.settings.UsageWindow > 0,
 	}
 	h.ownership = ownership.New(ownership.Options{
 		Self: self, Space: rowSpace, Table: a.Table, Watcher: a.Watcher, WantedRoles: h.directory.wantedRoles,
@@ -169,9 +174,16 @@
 		Host: self.Name, Roles: h.directory, Directory: h.directory, Promoter: a.Promoter, Dialer: a.Dialer,
 		Clock: h.clock, Log: h.log, Counters: h.counters, Latencies: latencies,
 	})
+	usageSettings := usage.Settings{
+		Window: h.settings.UsageWindow.Std(), Late: h.settings.UsageLate.Std(), Lease: h.settings.UsageLease.Std(), Machine: self.Address,
+	}
+	var usageCounter *usage.Counter
+	if usageSettings.Window > 0 {
+		usageCounter = usage.NewCounter(h.clock, usageSettings.Retention(), h.counters)
+	}
 	h.executor = executor.New(executor.Options{
 		Dialer: a.Dialer, Authority: h.failover, Snapshot: h.catalog.Snapshot, IsHomeHost: h.directory.isHomeHost,
-		ReportLoads: a.Features.ContentionControl || a.Features.ServerSupervision, Clock: h.clock, Log: h.log, Counters: h.counters,
+		Usage: usageCounter, ReportLoads: a.Features.ContentionControl || a.Features.ServerSupervision, Clock: h.clock, Log: h.log, Counters: h.counters,
 	}, rand.Uint64()>>1)
 	h.peerCalls = &peerCalls{
 		directory: h.directory, pool: peer.NewPool(nil, nil), executor: h.executor, failover: h.failover, counters: h.counters,
@@ -179,6 +191,13 @@
 		loads:   serverload.NewTable(), suspects: map[string]bool{}, followers: map[string]*store.Follower{}, groupStates: map[string]receivedState{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	if usageCounter != nil {
+		h.usage = usage.New(usage.Options{
+			Settings: usageSettings, Name: self.Name, Incarnation: self.Incarnation, Roles: h.directory, Hosts: h.directory.usageHosts,
+			Ask: h.peerCalls.askUsage, Counter: usageCounter, Table: a.Table, Watcher: a.Watcher, Reporter: a.UsageReporter, Clock: h.clock,
+			TimeOfDay: func() time.Duration { return time.Duration(time.Now().UnixNano()) }, Log: h.log, Counters: h.counters,
+		})
+	}
 	followers := append(h.catalog.Followers(), h.ownership.Follower())
 	for i, f := range followers {
 		h.peerCalls.followers[f.Space] = f
@@ -197,7 +216,7 @@
 	})
 	h.peerCalls.frontend = h.frontend
 	h.grpc = grpc.NewServer(peer.ServerOptions(nil)...)
-	peerpb.RegisterPeerServer(h.grpc, peerAPI{calls: h.peerCalls, minters: h.minters})
+	peerpb.RegisterPeerServer(h.grpc, peerAPI{calls: h.peerCalls, minters: h.minters, usage: h.usage})
 }
 
 // Run serves until ctx ends and then performs the planned stop. It returns an
@@ -211,7 +230,11 @@
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, component := range []func(context.Context){h.catalog.Run, h.ownership.Run, h.failover.Run, h.executor.Run, h.peerCalls.runHeartbeats, h.watchMinterRoles} {
+	components := []func(context.Context){h.catalog.Run, h.ownership.Run, h.failover.Run, h.executor.Run, h.peerCalls.runHeartbeats, h.watchMinterRoles}
+	if h.usage != nil {
+		components = append(components, h.usage.Run)
+	}
+	for _, component := range components {
 		wg.Go(func() { component(workCtx) })
 	}
 	serveErrors := make(chan error, 4)
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -21,6 +21,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+	"github.com/cranberryhinge/cranberryhinge/internal/usage"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
 
@@ -126,6 +127,8 @@
 	peerpb.UnimplementedPeerServer
 	calls   *peerCalls
 	minters grantServer
+	// usage is nil if usage is not reported.
+	usage *usage.Shell
 }
 
 // grantServer serves requests for rate limit tokens.
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -37,6 +37,13 @@
 	RateWindow  config.Duration `yaml:"rate_window"`
 	RateOverage float64         `yaml:"rate_overage"`
 	RateSlack   float64         `yaml:"rate_slack"`
+	// UsageWindow is the length of the windows for which the requests of the customers are
+	// reported; 0 turns the reports off. UsageLate is the time after the end of a window
+	// at which its report is due, UsageLease the time within which two hosts do not report
+	// in turn.
+	UsageWindow config.Duration `yaml:"usage_window,omitempty"`
+	UsageLate   config.Duration `yaml:"usage_late,omitempty"`
+	UsageLease  config.Duration `yaml:"usage_lease,omitempty"`
 	// StopGrace is the time from SIGTERM to the end of the process; at least 1 s.
 	StopGrace config.Duration `yaml:"stop_grace"`
 	// MemoryMB and Descriptors are the process's limits on memory, in MiB, and on
@@ -103,6 +110,13 @@
 	return min(s.ProcessorShare*float64(s.Cores), s.LinkMbps/mbpsPerCore)
 }
 
+// minUsageWindow and minUsageLate are the shortest times in which the counts of all hosts
+// can be collected and fixed in the store.
+const (
+	minUsageWindow = time.Second
+	minUsageLate   = 2 * time.Second
+)
+
 var logLevels = []string{"trace", "debug", "info", "warn", "error"}
 
 // Check returns an error that names the first missing or invalid setting.
@@ -133,6 +147,12 @@
 		return errors.Errorf("setting key_grace: %v is less than 1s, the shortest that a host can guarantee", s.KeyGrace.Std())
 	case s.RateWindow < 0 || s.RateOverage < 0 || s.RateSlack < 0:
 		return errors.New("settings rate_window, rate_overage and rate_slack must not be negative")
+	case s.UsageWindow < 0 || s.UsageWindow > 0 && s.UsageWindow.Std() < minUsageWindow:
+		return errors.Errorf("setting usage_window: %v is neither 0 nor at least %v", s.UsageWindow.Std(), minUsageWindow)
+	case s.UsageWindow > 0 && s.UsageLate.Std() < minUsageLate:
+		return errors.Errorf("setting usage_late: %v is less than %v", s.UsageLate.Std(), minUsageLate)
+	case s.UsageLease < 0:
+		return errors.New("setting usage_lease must not be negative")
 	case s.StopGrace.Std() < time.Second:
 		return errors.Errorf("setting stop_grace: %v is less than 1s", s.StopGrace.Std())
 	case s.ProcessorShare <= 0 || s.LinkMbps <= 0:
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"os"
 	"path/filepath"
@@ -63,6 +64,12 @@
 	// minFinalShare is the share of operations that must be served once all faults are
 	// over.
 	minFinalShare = 0.75
+	// usageLate is the time after the end of a window at which its usage report is due,
+	// usageSettleTime the time after the last fault from which on no window may be
+	// missing.
+	usageLate       = 4 * time.Second
+	usageSettleTime = 10 * time.Second
+	usageLease      = time.Second
 )
 
 type run struct {
@@ -168,6 +175,7 @@
 				Client: addresses[0], Peer: addresses[1], Advertise: peers.Address(), Ready: addresses[2], Metrics: addresses[3],
 			},
 			Store: store.Address(), Promotion: r.env.PromotionAddress(), KeyGrace: config.Duration(keyGrace),
+			UsageWindow: config.Duration(standin.UsageWindow), UsageLate: config.Duration(usageLate), UsageLease: config.Duration(usageLease),
 			RateWindow: config.Duration(5 * time.Second), RateOverage: 0.1, RateSlack: 20,
 			StopGrace: config.Duration(stopGrace), MemoryMB: hostMemoryMB, Descriptors: hostDescriptors, Cores: 1, ProcessorShare: 1, LinkMbps: 1000, LogLevel: "info",
 		},
@@ -327,10 +335,26 @@
 	if res.FinalServedShare < minFinalShare && r.Plan.Rate >= nonLimitingRate {
 		r.env.Oracle.RecordBreach("RECOVER: only %.2f of the operations were served after the end of all faults", res.FinalServedShare)
 	}
+	r.checkUsage()
 	res.Breaches = r.env.Oracle.Breaches()
 	return res
 }
 
+// checkUsage records a breach for each usage report that is missing although all faults
+// were over. The counts are not checked: planned stops may come until the end of the run.
+func (r *run) checkUsage() {
+	r.mu.Lock()
+	calmSince := r.lastFaultEnd
+	r.mu.Unlock()
+	if calmSince.IsZero() {
+		return
+	}
+	from, to := r.env.Usage.Window(calmSince.Add(usageSettleTime)), r.env.Usage.Window(time.Now().Add(-2*usageLate))
+	for _, p := range r.env.Usage.Check(from, to, r.Plan.Duration, 0, math.MaxFloat64) {
+		r.env.Oracle.RecordBreach("USAGE: %s", p)
+	}
+}
+
 // saveResult writes the result to result.json.
 func (r *run) saveResult(res Result) error {
 	data, err := json.MarshalIndent(res, "", "  ")
--- /dev/null
+++ b/internal/usage/machine.go
@@ -0,0 +1,501 @@
+package usage
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
+)
+
+// Role is the name of the role that the reporter holds.
+const Role = "usage"
+
+const (
+	// askInterval is the time between two questions to a host, and maxAsksPerSecond the
+	// number of questions that a reporter sends; in a large fleet the interval is longer.
+	askInterval      = 2 * time.Second
+	maxAsksPerSecond = 64
+	// urgentAskInterval is the time between two questions to a host whose counts of a
+	// window that has ended are missing.
+	urgentAskInterval = 300 * time.Millisecond
+	// settleTime is how long after its end a window is closed at the earliest. The
+	// answers of requests that did not run arrive within it.
+	settleTime = 300 * time.Millisecond
+	// minCollectTime is how long a new reporter asks all hosts before it closes a
+	// window without the counts of some.
+	minCollectTime = 1500 * time.Millisecond
+	// silentShare and aliveShare are the shares of the time until a report is due after
+	// which a window is closed without the counts of a host that sends no heartbeats, or
+	// does.
+	silentShare = 0.3
+	aliveShare  = 0.6
+	// rowRetryDelay is the pause after a failed call to the store.
+	rowRetryDelay = 200 * time.Millisecond
+	// minSendDelay and maxSendDelay bound the pause before a report is sent again.
+	minSendDelay = 300 * time.Millisecond
+	maxSendDelay = 2 * time.Second
+	// maxClockError is the error of the readings of a host's clock from which on the
+	// host is not asked for counts. maxClockDrift is how much the clocks of two hosts may
+	// drift apart.
+	maxClockError = 250 * time.Millisecond
+	maxClockDrift = 1e-3
+)
+
+// Settings are the settings of a Machine.
+type Settings struct {
+	// Window is the length of a window. A report is due Late after the window's end.
+	Window, Late time.Duration
+	// Lease is the time within which two machines do not report in turn.
+	Lease time.Duration
+	// Machine is the address of this host.
+	Machine string
+}
+
+// Retention is how long counts are kept at the home hosts. Windows that began earlier
+// are not reported.
+func (s Settings) Retention() time.Duration { return 2 * (s.Window + s.Late) }
+
+// Host is a host that counts requests.
+type Host struct {
+	Name        string
+	Address     string
+	Incarnation uint64
+	// Alive is set if the host has sent a recent heartbeat.
+	Alive bool
+}
+
+// Action is what the Shell has to do.
+type Action interface{ isAction() }
+
+// CallID tells the calls of a Machine apart. Results of calls that are no longer of
+// interest are ignored.
+type CallID uint64
+
+// ReadRow reads the row and the store's clock.
+type ReadRow struct{ Call CallID }
+
+// WriteRow writes the row if it is at the revision Expect.
+type WriteRow struct {
+	Call   CallID
+	Expect store.Revision
+	Record Record
+}
+
+// Ask asks a host for its counts.
+type Ask struct {
+	// Generation is that of the Machine, which changes with the epoch.
+	Generation uint64
+	Host       Host
+	Windows    []Span
+}
+
+// Span is a window on the clock of the host that is asked.
+type Span struct {
+	Window   int64
+	From, To time.Duration
+}
+
+// Send sends the report of a window.
+type Send struct {
+	Call CallID
+	Counts
+	Epoch uint64
+}
+
+// NewEpoch requests a new epoch of the role.
+type NewEpoch struct{}
+
+// Decision is a decision that is logged and counted.
+type Decision struct {
+	// Kind is the name of the counter.
+	Kind   string
+	Epoch  uint64
+	Window int64
+	// Hosts is the number of hosts whose counts are in the window, Missing the names of
+	// the hosts that did not answer in time.
+	Hosts    int
+	Missing  []string
+	Requests int64
+	// Offset is the time since the end of the window, or the step of the time of day.
+	Offset time.Duration
+	Reason string
+}
+
+func (ReadRow) isAction()  {}
+func (WriteRow) isAction() {}
+func (Ask) isAction()      {}
+func (Send) isAction()     {}
+func (NewEpoch) isAction() {}
+func (Decision) isAction() {}
+
+// Counters of decisions.
+const (
+	// WindowFixed counts windows whose counts were fixed, WindowReported those whose
+	// report was accepted, and WindowLate those of them whose report was late.
+	WindowFixed    = "usage_windows_fixed"
+	WindowReported = "usage_windows_reported"
+	WindowLate     = "usage_windows_late"
+	// WindowIncomplete counts windows that were fixed without the counts of a host, and
+	// WindowSkipped those that were given up.
+	WindowIncomplete = "usage_windows_incomplete"
+	WindowSkipped    = "usage_windows_skipped"
+	// ReporterStarted counts how often this host has become the reporter,
+	// ReporterSuperseded how often the row named a later one, and ReportRefused how often
+	// the platform had seen a later one.
+	ReporterStarted    = "usage_reporter_started"
+	ReporterSuperseded = "usage_reporter_superseded"
+	ReportRefused      = "usage_reports_refused_by_fence"
+	// RecordUnusable counts rows that could not be decoded, and ClockStepped steps of the
+	// estimated time of day.
+	RecordUnusable = "usage_record_unusable"
+	ClockStepped   = "usage_clock_stepped"
+)
+
+// DecisionKinds returns the counters of decisions.
+func DecisionKinds() []string {
+	return []string{
+		WindowFixed, WindowReported, WindowLate, WindowIncomplete, WindowSkipped,
+		ReporterStarted, ReporterSuperseded, ReportRefused, RecordUnusable, ClockStepped,
+	}
+}
+
+type phase uint8
+
+const (
+	// idle: this host does not hold the role.
+	idle phase = iota
+	// reading: the row has to be read.
+	reading
+	// adopting: this host writes its epoch into the row.
+	adopting
+	// reporting: this host has written its epoch into the row.
+	reporting
+	// stopped: a later reporter exists, and this epoch is not used any more.
+	stopped
+)
+
+// Machine decides what the reporter does. It is not safe for concurrent use.
+type Machine struct {
+	settings Settings
+	time     timeOfDay
+	out      []Action
+
+	phase phase
+	epoch uint64
+	// generation counts the changes of the epoch.
+	generation uint64
+	// since is the start of the phase.
+	since time.Duration
+	// record and revision are the row as last read or written by this host.
+	record   Record
+	revision store.Revision
+	// lastCall is the newest call. rowCall and sendCall are those under way, 0 if there
+	// is none.
+	lastCall, rowCall, sendCall CallID
+	rowRetryAt                  time.Duration
+	// written is the record of the write under way.
+	written Record
+	// storeOffset is the store's clock minus the clock of this host.
+	storeOffset time.Duration
+
+	hosts map[string]*hostState
+	// answers holds the counts by window and process.
+	answers map[int64]map[process]answer
+
+	accepted  map[int64]bool
+	sendAt    time.Duration
+	sendDelay time.Duration
+}
+
+type process struct {
+	host        string
+	incarnation uint64
+}
+
+type answer struct {
+	requests map[string]int64
+	complete bool
+}
+
+// hostState is what is known of a host and its clock.
+type hostState struct {
+	incarnation uint64
+	asking      bool
+	// dueAt is when the first question is due, askedAt when the last one was sent.
+	dueAt, askedAt time.Duration
+	aliveAt        time.Duration
+	// offset is the host's clock minus the clock of this host, with an error of up to
+	// offsetError at offsetAt.
+	hasOffset                     bool
+	offset, offsetError, offsetAt time.Duration
+}
+
+// NewMachine returns a Machine of a host that does not hold the role.
+func NewMachine(s Settings) *Machine {
+	return &Machine{settings: s, hosts: map[string]*hostState{}}
+}
+
+// Tick returns what is to be done. The epoch is that of the role, 0 if this host does
+// not hold it; hosts are all hosts, this one included.
+func (m *Machine) Tick(now time.Duration, epoch uint64, hosts []Host) []Action {
+	m.out = nil
+	if epoch != m.epoch {
+		m.start(now, epoch)
+	}
+	if m.phase == idle {
+		return nil
+	}
+	if m.phase == stopped {
+		if now-m.since >= m.settings.Lease {
+			// The rows still name this host, so that no later reporter is at work.
+			m.setPhase(now, stopped)
+			m.do(NewEpoch{})
+		}
+		return m.out
+	}
+	if step := m.time.update(now, countAlive(hosts)); step != 0 {
+		m.decide(Decision{Kind: ClockStepped, Offset: step})
+	}
+	m.stepRow(now, hosts)
+	m.stepSend(now)
+	m.askHosts(now, hosts)
+	return m.out
+}
+
+func countAlive(hosts []Host) (n int) {
+	for _, h := range hosts {
+		if h.Alive {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) do(a Action) { m.out = append(m.out, a) }
+
+func (m *Machine) nextCall() CallID {
+	m.lastCall++
+	return m.lastCall
+}
+
+func (m *Machine) decide(d Decision) {
+	d.Epoch = m.epoch
+	m.do(d)
+}
+
+func (m *Machine) setPhase(now time.Duration, p phase) { m.phase, m.since = p, now }
+
+// start forgets what was known in another epoch. The clocks of the hosts stay known.
+func (m *Machine) start(now time.Duration, epoch uint64) {
+	m.epoch = epoch
+	m.generation++
+	m.rowCall, m.sendCall, m.rowRetryAt, m.sendAt, m.sendDelay = 0, 0, 0, 0, minSendDelay
+	m.answers, m.accepted = map[int64]map[process]answer{}, map[int64]bool{}
+	for _, h := range m.hosts {
+		h.asking, h.aliveAt = false, now
+	}
+	if epoch == 0 {
+		m.setPhase(now, idle)
+		return
+	}
+	m.setPhase(now, reading)
+}
+
+// stop ends the use of the epoch: a later reporter exists.
+func (m *Machine) stop(now time.Duration, kind, reason string, window int64) {
+	m.setPhase(now, stopped)
+	m.rowCall, m.sendCall = 0, 0
+	m.decide(Decision{Kind: kind, Window: window, Reason: reason})
+}
+
+// trueTime returns the estimated true time since 1970.
+func (m *Machine) trueTime(now time.Duration) time.Duration { return now + m.time.offset }
+
+func (m *Machine) windowEnd(w int64) time.Duration { return time.Duration(w+1) * m.settings.Window }
+
+// stepRow reads or writes the row if that is needed.
+func (m *Machine) stepRow(now time.Duration, hosts []Host) {
+	if m.rowCall != 0 || now < m.rowRetryAt {
+		return
+	}
+	switch m.phase {
+	case reading:
+		m.rowCall = m.nextCall()
+		m.do(ReadRow{Call: m.rowCall})
+	case adopting:
+		m.write(m.record.adopted(m.epoch, m.settings.Machine, now+m.storeOffset, m.settings.Lease))
+	case reporting:
+		if m.time.anchored {
+			m.fixWindows(now, hosts)
+		}
+	}
+}
+
+func (m *Machine) write(next Record) {
+	m.rowCall, m.written = m.nextCall(), next
+	m.do(WriteRow{Call: m.rowCall, Expect: m.revision, Record: next})
+}
+
+// fixWindows writes the counts of the windows that can be closed.
+func (m *Machine) fixWindows(now time.Duration, hosts []Host) {
+	next := m.record
+	if next.Next == 0 {
+		// Windows that have begun may have been reported by a host whose row is gone, and
+		// their first requests may not have been counted.
+		next.Next = int64(m.trueTime(now)/m.settings.Window) + 1
+		m.record.Next = next.Next
+	}
+	next.Fixed = nil
+	for _, f := range m.record.Fixed {
+		if !m.accepted[f.Window] {
+			next.Fixed = append(next.Fixed, f)
+		}
+	}
+	m.skipLost(now, &next)
+	fixed := 0
+	for m.canClose(now, next.Next, hosts) {
+		next.Fixed = append(next.Fixed, m.close(now, next.Next, hosts))
+		next.Next++
+		fixed++
+	}
+	if fixed == 0 {
+		return
+	}
+	for len(next.encode()) > maxRecordBytes && len(next.Fixed) > 1 {
+		m.decide(Decision{Kind: WindowSkipped, Window: next.Fixed[0].Window, Reason: "too many reports wait"})
+		next.Fixed = next.Fixed[1:]
+	}
+	m.time.firm = true
+	next.TrueMinusStore = m.time.offset - m.storeOffset
+	m.write(next)
+}
+
+// skipLost skips the windows whose counts the home hosts no longer have.
+func (m *Machine) skipLost(now time.Duration, next *Record) {
+	oldest := m.trueTime(now) - m.settings.Retention()
+	first := int64((oldest + m.settings.Window - 1) / m.settings.Window)
+	if next.Next >= first {
+		return
+	}
+	m.decide(Decision{Kind: WindowSkipped, Window: next.Next, Requests: first - next.Next, Reason: "the counts are too old"})
+	next.Next, m.record.Next = first, first
+}
+
+// canClose reports whether the counts of a window can be fixed: all hosts have sent
+// them, or there is no time to wait for the others.
+func (m *Machine) canClose(now time.Duration, w int64, hosts []Host) bool {
+	since := m.trueTime(now) - m.windowEnd(w)
+	if since < settleTime {
+		return false
+	}
+	collected := now-m.since >= minCollectTime
+	for _, h := range hosts {
+		share := silentShare
+		if h.Alive {
+			share = aliveShare
+		}
+		waited := collected && since >= time.Duration(share*float64(m.settings.Late))
+		if !waited && m.isMissing(now, w, h) {
+			return false
+		}
+	}
+	return true
+}
+
+// isMissing reports whether the counts of a host in a window may be incomplete. A host
+// that has long been silent runs no requests.
+func (m *Machine) isMissing(now time.Duration, w int64, h Host) bool {
+	s, known := m.hosts[h.Name]
+	gone := known && now-s.aliveAt > m.settings.Window
+	return !gone && !m.answers[w][process{h.Name, h.Incarnation}].complete
+}
+
+// close returns the sum of the counts of a window.
+func (m *Machine) close(now time.Duration, w int64, hosts []Host) Counts {
+	sum := Counts{Window: w, Requests: map[string]int64{}}
+	d := Decision{Kind: WindowFixed, Window: w, Hosts: len(m.answers[w]), Offset: m.trueTime(now) - m.windowEnd(w)}
+	for _, a := range m.answers[w] {
+		for customer, n := range a.requests {
+			sum.Requests[customer] += n
+			d.Requests += n
+		}
+	}
+	for _, h := range hosts {
+		if m.isMissing(now, w, h) {
+			d.Missing = append(d.Missing, h.Name)
+		}
+	}
+	m.decide(d)
+	if len(d.Missing) > 0 {
+		m.decide(Decision{Kind: WindowIncomplete, Window: w, Missing: d.Missing})
+	}
+	return sum
+}
+
+// stepSend sends the oldest report that has not been accepted.
+func (m *Machine) stepSend(now time.Duration) {
+	if m.phase != reporting || m.sendCall != 0 || now < m.sendAt || now+m.storeOffset < m.record.ActAfterStore {
+		return
+	}
+	for _, f := range m.record.Fixed {
+		if !m.accepted[f.Window] {
+			m.sendCall = m.nextCall()
+			m.do(Send{Call: m.sendCall, Counts: f, Epoch: m.epoch})
+			return
+		}
+	}
+}
+
+// askHosts asks the hosts for their counts and clocks. The first questions are spread
+// over a part of the interval.
+func (m *Machine) askHosts(now time.Duration, hosts []Host) {
+	interval := max(askInterval, time.Second*time.Duration(len(hosts))/maxAsksPerSecond)
+	known := make(map[string]bool, len(hosts))
+	for i, h := range hosts {
+		known[h.Name] = true
+		s, ok := m.hosts[h.Name]
+		if !ok || s.incarnation != h.Incarnation {
+			s = &hostState{incarnation: h.Incarnation, aliveAt: now, dueAt: now + interval/8*time.Duration(i)/time.Duration(len(hosts))}
+			m.hosts[h.Name] = s
+		}
+		if h.Alive {
+			s.aliveAt = now
+		}
+		windows, urgent := m.spans(now, h, s)
+		due := s.dueAt
+		switch {
+		case s.askedAt == 0:
+		case urgent && h.Alive:
+			due = s.askedAt + interval/askInterval*urgentAskInterval
+		default:
+			due = s.askedAt + interval
+		}
+		if !s.asking && now >= due {
+			s.asking, s.askedAt = true, now
+			m.do(Ask{Generation: m.generation, Host: h, Windows: windows})
+		}
+	}
+	maps.DeleteFunc(m.hosts, func(name string, _ *hostState) bool { return !known[name] })
+}
+
+// spans returns the windows that a host has to be asked for, and whether one of them has
+// ended.
+func (m *Machine) spans(now time.Duration, h Host, s *hostState) (windows []Span, urgent bool) {
+	if !s.hasOffset {
+		return nil, true
+	}
+	if m.phase != reporting || !m.time.anchored || m.record.Next == 0 || s.offsetError > maxClockError {
+		return nil, false
+	}
+	toHost := s.offset - m.time.offset // the host's clock minus the true time
+	trueNow := m.trueTime(now)
+	for w := m.record.Next; time.Duration(w)*m.settings.Window <= trueNow; w++ {
+		if m.answers[w][process{h.Name, h.Incarnation}].complete {
+			continue
+		}
+		end := m.windowEnd(w)
+		windows = append(windows, Span{Window: w, From: end - m.settings.Window + toHost, To: end + toHost})
+		urgent = urgent || trueNow-end >= settleTime
+	}
+	return windows, urgent
+}
