--- a/internal/usage/machine.go
+++ b/internal/usage/machine.go
@@ -24,11 +24,14 @@
 	// minCollectTime is how long a new reporter asks all hosts before it closes a
 	// window without the counts of some.
 	minCollectTime = 1500 * time.Millisecond
-	// silentShare and aliveShare are the shares of the time until a report is due after
-	// which a window is closed without the counts of a host that sends no heartbeats, or
-	// does.
-	silentShare = 0.3
-	aliveShare  = 0.6
+	// silentShare, aliveShare and cutOffShare are the shares of the time until a report is
+	// due after which a window is closed although counts are missing: those of hosts that
+	// send no heartbeats, those of hosts that do, and those of more than
+	// 1/cutOffDivisor of all hosts, in which case this host is probably cut off itself.
+	silentShare   = 0.3
+	aliveShare    = 0.6
+	cutOffShare   = 0.85
+	cutOffDivisor = 3
 	// rowRetryDelay is the pause after a failed call to the store.
 	rowRetryDelay = 200 * time.Millisecond
 	// minSendDelay and maxSendDelay bound the pause before a report is sent again.
@@ -388,25 +391,30 @@
 	if since < settleTime {
 		return false
 	}
-	collected := now-m.since >= minCollectTime
+	missing, share := 0, silentShare
 	for _, h := range hosts {
-		share := silentShare
+		if !m.isMissing(now, w, h) {
+			continue
+		}
+		missing++
 		if h.Alive {
 			share = aliveShare
 		}
-		waited := collected && since >= time.Duration(share*float64(m.settings.Late))
-		if !waited && m.isMissing(now, w, h) {
-			return false
-		}
 	}
-	return true
+	if missing == 0 {
+		return true
+	}
+	if cutOffDivisor*missing > len(hosts) {
+		share = cutOffShare
+	}
+	return now-m.since >= minCollectTime && since >= time.Duration(share*float64(m.settings.Late))
 }
 
 // isMissing reports whether the counts of a host in a window may be incomplete. A host
 // that has long been silent runs no requests.
 func (m *Machine) isMissing(now time.Duration, w int64, h Host) bool {
 	s, known := m.hosts[h.Name]
-	gone := known && now-s.aliveAt > m.settings.Window
+	gone := known && now-s.aliveAt > m.settings.Window+m.settings.Late
 	return !gone && !m.answers[w][process{h.Name, h.Incarnation}].complete
 }
 
--- a/internal/usage/results.go
+++ b/internal/usage/results.go
@@ -1,6 +1,8 @@
 package usage
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
@@ -42,8 +44,7 @@
 	m.record, m.revision = record, r.Revision
 	m.storeOffset = r.Stamp - (r.Sent+r.Received)/2
 	if record.TrueMinusStore != 0 {
-		m.time.anchor(now, record.TrueMinusStore+m.storeOffset)
-		m.time.firm = true
+		m.time.inherit(now, record.TrueMinusStore+m.storeOffset, (r.Received-r.Sent)/2)
 	}
 	if record.Epoch == m.epoch {
 		m.setPhase(now, reporting)
@@ -85,11 +86,10 @@
 			m.setPhase(now, reporting)
 			m.decide(Decision{Kind: ReporterStarted, Window: m.record.Next})
 		}
-		for w := range m.answers {
-			if w < m.record.Next {
-				delete(m.answers, w)
-			}
-		}
+		maps.DeleteFunc(m.answers, func(w int64, _ map[process]answer) bool { return w < m.record.Next })
+		maps.DeleteFunc(m.accepted, func(w int64, _ bool) bool {
+			return !slices.ContainsFunc(m.record.Fixed, func(f Counts) bool { return f.Window == w })
+		})
 	}
 	return m.out
 }
--- a/internal/usage/timeofday.go
+++ b/internal/usage/timeofday.go
@@ -58,6 +58,15 @@
 	t.offset, t.anchored, t.adjustedAt, t.disagreesSince = offset, true, now, 0
 }
 
+// inherit adopts the estimate of an earlier reporter, which is known with an error of up
+// to e, unless this host's own estimate agrees with it.
+func (t *timeOfDay) inherit(now, offset, e time.Duration) {
+	if !t.firm || (t.offset-offset).Abs() > e+stepThreshold/10 {
+		t.anchor(now, offset)
+	}
+	t.firm = true
+}
+
 // median returns the median of the recent readings, and their number.
 func (t *timeOfDay) median(now time.Duration) (offset time.Duration, n int) {
 	var offsets []time.Duration
