--- a/internal/usage/machine.go
+++ b/internal/usage/machine.go
@@ -1,7 +1,6 @@
 package usage
 
 import (
-	"maps"
 	"time"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
@@ -70,98 +69,6 @@
 // Action is what the Shell has to do.
 type Action interface{ isAction() }
 
-// CallID tells the calls of a Machine apart. Results of calls that are no longer of
-// interest are ignored.
-type CallID uint64
-
-// ReadRow reads the row and the store's clock.
-type ReadRow struct{ Call CallID }
-
-// WriteRow writes the row if it is at the revision Expect.
-type WriteRow struct {
-	Call   CallID
-	Expect store.Revision
-	Record Record
-}
-
-// Ask asks a host for its counts.
-type Ask struct {
-	// Generation is that of the Machine, which changes with the epoch.
-	Generation uint64
-	Host       Host
-	Windows    []Span
-}
-
-// Span is a window on the clock of the host that is asked.
-type Span struct {
-	Window   int64
-	From, To time.Duration
-}
-
-// Send sends the report of a window.
-type Send struct {
-	Call CallID
-	Counts
-	Epoch uint64
-}
-
-// NewEpoch requests a new epoch of the role.
-type NewEpoch struct{}
-
-// Decision is a decision that is logged and counted.
-type Decision struct {
-	// Kind is the name of the counter.
-	Kind   string
-	Epoch  uint64
-	Window int64
-	// Hosts is the number of hosts whose counts are in the window, Missing the names of
-	// the hosts that did not answer in time.
-	Hosts    int
-	Missing  []string
-	Requests int64
-	// Offset is the time since the end of the window, or the step of the time of day.
-	Offset time.Duration
-	Reason string
-}
-
-func (ReadRow) isAction()  {}
-func (WriteRow) isAction() {}
-func (Ask) isAction()      {}
-func (Send) isAction()     {}
-func (NewEpoch) isAction() {}
-func (Decision) isAction() {}
-
-// Counters of decisions.
-const (
-	// WindowFixed counts windows whose counts were fixed, WindowReported those whose
-	// report was accepted, and WindowLate those of them whose report was late.
-	WindowFixed    = "usage_windows_fixed"
-	WindowReported = "usage_windows_reported"
-	WindowLate     = "usage_windows_late"
-	// WindowIncomplete counts windows that were fixed without the counts of a host, and
-	// WindowSkipped those that were given up.
-	WindowIncomplete = "usage_windows_incomplete"
-	WindowSkipped    = "usage_windows_skipped"
-	// ReporterStarted counts how often this host has become the reporter,
-	// ReporterSuperseded how often the row named a later one, and ReportRefused how often
-	// the platform had seen a later one.
-	ReporterStarted    = "usage_reporter_started"
-	ReporterSuperseded = "usage_reporter_superseded"
-	ReportRefused      = "usage_reports_refused_by_fence"
-	// RecordUnusable counts rows that could not be decoded, and ClockStepped steps of the
-	// estimated time of day.
-	RecordUnusable = "usage_record_unusable"
-	ClockStepped   = "usage_clock_stepped"
-)
-
-// DecisionKinds returns the counters of decisions.
-func DecisionKinds() []string {
-	return []string{
-		WindowFixed, WindowReported, WindowLate, WindowIncomplete, WindowSkipped,
-		ReporterStarted, ReporterSuperseded, ReportRefused, RecordUnusable, ClockStepped,
-	}
-}
-
 type phase uint8
 
 const (
@@ -220,19 +127,6 @@
 	complete bool
 }
 
-// hostState is what is known of a host and its clock.
-type hostState struct {
-	incarnation uint64
-	asking      bool
-	// dueAt is when the first question is due, askedAt when the last one was sent.
-	dueAt, askedAt time.Duration
-	aliveAt        time.Duration
-	// offset is the host's clock minus the clock of this host, with an error of up to
-	// offsetError at offsetAt.
-	hasOffset                     bool
-	offset, offsetError, offsetAt time.Duration
-}
-
 // NewMachine returns a Machine of a host that does not hold the role.
 func NewMachine(s Settings) *Machine {
 	return &Machine{settings: s, hosts: map[string]*hostState{}}
@@ -453,57 +347,3 @@
 		}
 	}
 }
-
-// askHosts asks the hosts for their counts and clocks. The first questions are spread
-// over a part of the interval.
-func (m *Machine) askHosts(now time.Duration, hosts []Host) {
-	interval := max(askInterval, time.Second*time.Duration(len(hosts))/maxAsksPerSecond)
-	known := make(map[string]bool, len(hosts))
-	for i, h := range hosts {
-		known[h.Name] = true
-		s, ok := m.hosts[h.Name]
-		if !ok || s.incarnation != h.Incarnation {
-			s = &hostState{incarnation: h.Incarnation, aliveAt: now, dueAt: now + interval/8*time.Duration(i)/time.Duration(len(hosts))}
-			m.hosts[h.Name] = s
-		}
-		if h.Alive {
-			s.aliveAt = now
-		}
-		windows, urgent := m.spans(now, h, s)
-		due := s.dueAt
-		switch {
-		case s.askedAt == 0:
-		case urgent && h.Alive:
-			due = s.askedAt + interval/askInterval*urgentAskInterval
-		default:
-			due = s.askedAt + interval
-		}
-		if !s.asking && now >= due {
-			s.asking, s.askedAt = true, now
-			m.do(Ask{Generation: m.generation, Host: h, Windows: windows})
-		}
-	}
-	maps.DeleteFunc(m.hosts, func(name string, _ *hostState) bool { return !known[name] })
-}
-
-// spans returns the windows that a host has to be asked for, and whether one of them has
-// ended.
-func (m *Machine) spans(now time.Duration, h Host, s *hostState) (windows []Span, urgent bool) {
-	if !s.hasOffset {
-		return nil, true
-	}
-	if m.phase != reporting || !m.time.anchored || m.record.Next == 0 || s.offsetError > maxClockError {
-		return nil, false
-	}
-	toHost := s.offset - m.time.offset // the host's clock minus the true time
-	trueNow := m.trueTime(now)
-	for w := m.record.Next; time.Duration(w)*m.settings.Window <= trueNow; w++ {
-		if m.answers[w][process{h.Name, h.Incarnation}].complete {
-			continue
-		}
-		end := m.windowEnd(w)
-		windows = append(windows, Span{Window: w, From: end - m.settings.Window + toHost, To: end + toHost})
-		urgent = urgent || trueNow-end >= settleTime
-	}
-	return windows, urgent
-}
