--- a/internal/usage/machine.go
+++ b/internal/usage/machine.go
@@ -103,8 +103,10 @@
 	// is none.
 	lastCall, rowCall, sendCall CallID
 	rowRetryAt                  time.Duration
-	// written is the record of the write under way.
-	written Record
+	// written is the record of the write under way, or of the last one. writtenDecisions
+	// are reported once it is carried out.
+	written          Record
+	writtenDecisions []Decision
 	// storeOffset is the store's clock minus the clock of this host.
 	storeOffset time.Duration
 
@@ -180,6 +182,9 @@
 	m.do(d)
 }
 
+// decideOnWrite reports a decision once the write under way is carried out.
+func (m *Machine) decideOnWrite(d Decision) { m.writtenDecisions = append(m.writtenDecisions, d) }
+
 func (m *Machine) setPhase(now time.Duration, p phase) { m.phase, m.since = p, now }
 
 // start forgets what was known in another epoch. The clocks of the hosts stay known.
@@ -220,6 +225,7 @@
 		m.rowCall = m.nextCall()
 		m.do(ReadRow{Call: m.rowCall})
 	case adopting:
+		m.writtenDecisions = nil
 		m.write(m.record.adopted(m.epoch, m.settings.Machine, now+m.storeOffset, m.settings.Lease))
 	case reporting:
 		if m.time.anchored {
@@ -250,6 +256,7 @@
 	}
 	m.skipLost(now, &next)
 	fixed := 0
+	m.writtenDecisions = nil
 	for m.canClose(now, next.Next, hosts) {
 		next.Fixed = append(next.Fixed, m.close(now, next.Next, hosts))
 		next.Next++
@@ -259,7 +266,7 @@
 		return
 	}
 	for len(next.encode()) > maxRecordBytes && len(next.Fixed) > 1 {
-		m.decide(Decision{Kind: WindowSkipped, Window: next.Fixed[0].Window, Reason: "too many reports wait"})
+		m.decideOnWrite(Decision{Kind: WindowSkipped, Window: next.Fixed[0].Window, Reason: "too many reports wait"})
 		next.Fixed = next.Fixed[1:]
 	}
 	m.time.firm = true
@@ -327,9 +334,9 @@
 			d.Missing = append(d.Missing, h.Name)
 		}
 	}
-	m.decide(d)
+	m.decideOnWrite(d)
 	if len(d.Missing) > 0 {
-		m.decide(Decision{Kind: WindowIncomplete, Window: w, Missing: d.Missing})
+		m.decideOnWrite(Decision{Kind: WindowIncomplete, Window: w, Missing: d.Missing})
 	}
 	return sum
 }
--- a/internal/usage/results.go
+++ b/internal/usage/results.go
@@ -82,6 +82,9 @@
 		m.setPhase(now, reading)
 	default:
 		m.record, m.revision = m.written, revision
+		for _, d := range m.writtenDecisions {
+			m.decide(d)
+		}
 		if m.phase == adopting {
 			m.setPhase(now, reporting)
 			m.decide(Decision{Kind: ReporterStarted, Window: m.record.Next})
