--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -120,12 +120,12 @@
 
 // Machine supervises one group. It is not safe for concurrent use.
 type Machine struct {
-	epoch         uint64
-	phase         Phase
-	phaseSince    time.Duration
-	group         Group
-	reports       map[string]serverReport
-	contacts      map[string]*serverContact
+	epoch      uint64
+	phase      Phase
+	phaseSince time.Duration
+	group      Group
+	reports    map[string]serverReport
+	contacts   map[string]*serverContact
 	// pollsInFlight holds the servers whose status is being polled.
 	pollsInFlight map[string]bool
 	backoffUntil  map[string]time.Duration
