Serve waiting requests by what can still be in time

The line protocol's home host ordered strictly by priority with one mean service time for statements of 6 and 30 ms, kept requests until their deadline, and closed the least recently used connection for any customer without one.

With Settings.Scheduling EarliestTarget a Dispatcher serves open transactions within a bound, then by priority, by an equal share for each customer, by what can meet its latency target and by the earliest target. Service times are estimated by kind, waits include the requests that will arrive and go first. What cannot be served is refused on arrival or as soon as that shows; lower priorities get a sixteenth of the service time. Connections are closed by use, a request waits for a connection of its customer that is free soon, and open transactions hold three quarters of the connections at most. Off unless the executor is told so.

The property test of the limits now draws the scheduling, too; the other tests only pass a Demand.

--- a/internal/backend/dispatcher.go
+++ b/internal/backend/dispatcher.go
@@ -14,9 +14,9 @@
 // Every method that changes its state returns actions, which are valid until
 // the next call.
 //
-// Customers share the slots by start-time fair queueing: within a priority, the
-// waiting request of the customer that has used the least service time goes
-// first.
+// Settings.Scheduling selects the order of the waiting requests. By default customers
+// share the slots by start-time fair queueing: within a priority, the waiting request of
+// the customer that has used the least service time goes first.
 type Dispatcher struct {
 	settings Settings
 
@@ -40,6 +40,7 @@
 	// slotsInUse counts running statements and connections being opened.
 	slotsInUse  int
 	meanService time.Duration
+	contention  contention
 
 	actions []Action
 }
@@ -49,6 +50,8 @@
 	customer string
 	busy     bool
 	opening  bool
+	// use counts the recent uses.
+	use decayingSum
 	// lastUsed is the time at which the connection last became idle. It determines
 	// the least recently used connection. While the connection is being opened, it
 	// is the time at which opening began.
@@ -56,12 +59,31 @@
 }
 
 type dispatchRequest struct {
-	id       RequestID
-	customer string
-	priority int
-	state    requestState
-	conn     *dispatchConn
-	since    time.Duration
+	Demand
+	id    RequestID
+	state requestState
+	conn  *dispatchConn
+	since time.Duration
+	// resumed is set from the second statement of a transaction on.
+	resumed bool
+	// expectedLate is set once the request was not expected to meet its latency target.
+	expectedLate bool
+}
+
+// Demand describes a new request. The times of Target and Deadline are points in time on
+// the clock of the Dispatcher.
+type Demand struct {
+	Customer string
+	// Priority is 0 for the most urgent requests.
+	Priority int
+	// Wait is the longest time for which waiting for a slot is useful.
+	Wait time.Duration
+	// Target is the time at which the latency target of the operation passes, Deadline
+	// that at which its caller stops waiting; 0 for none.
+	Target, Deadline time.Duration
+	// Writes is set for a statement that writes, Transaction for a request that opens a
+	// transaction.
+	Writes, Transaction bool
 }
 
 // account is the use of the server by one customer.
@@ -71,12 +93,15 @@
 	serviceTime time.Duration
 	// heldConns counts the connections that the customer's requests hold.
 	heldConns int
+	// use is the expected service time of the customer's recent statements.
+	use decayingSum
 }
 
 // NewDispatcher returns a Dispatcher without connections.
 func NewDispatcher(s Settings) *Dispatcher {
 	return &Dispatcher{
 		settings: s, conns: map[ConnID]*dispatchConn{}, requests: map[RequestID]*dispatchRequest{}, accounts: map[string]*account{},
+		contention: newContention(),
 	}
 }
 
@@ -92,7 +117,14 @@
 // transit.
 const extraStatements = 1
 
-func (d *Dispatcher) slots() int { return max(d.settings.Slots, 1) + extraStatements }
+// slots returns the number of statements that may run. EarliestTarget runs none beyond the
+// slots: the server may reject it, and a retried statement is served out of order.
+func (d *Dispatcher) slots() int {
+	if d.settings.Scheduling == EarliestTarget {
+		return max(d.settings.Slots, 1)
+	}
+	return max(d.settings.Slots, 1) + extraStatements
+}
 
 // observedLimitTTL is how long a rejected connection caps the connection
 // budget. A former home host closes its connections within that time.
@@ -113,13 +145,16 @@
 
 // ExpectedWait estimates how long a new request of the given priority would
 // wait for a slot.
-func (d *Dispatcher) ExpectedWait(priority int) time.Duration {
+func (d *Dispatcher) ExpectedWait(now time.Duration, priority int) time.Duration {
+	if d.settings.Scheduling == EarliestTarget {
+		return d.contendedWait(now, d.typicalRequest(now, priority))
+	}
 	if d.slotsInUse < d.slots() {
 		return 0
 	}
 	ahead := 1
 	for _, r := range d.queue {
-		if r.priority <= priority {
+		if r.Priority <= priority {
 			ahead++
 		}
 	}
@@ -143,36 +178,54 @@
 		Slots: d.settings.Slots, Running: d.slotsInUse, Waiting: len(d.queue), Service: d.meanService,
 		FreeConnections: max(d.budget(now)-busy-d.closing, 0),
 	}
+	if d.settings.Scheduling == EarliestTarget {
+		l.Wait = d.reportedWaits(now)
+		return l
+	}
 	for priority := range priorityLevels {
-		l.Wait = append(l.Wait, d.ExpectedWait(priority))
+		l.Wait = append(l.Wait, d.ExpectedWait(now, priority))
 	}
 	return l
 }
 
 // Request queues a new request. It refuses the request at once if the queue is
-// full, or if the expected wait for a slot is longer than wait, the longest time
-// for which waiting is useful.
-func (d *Dispatcher) Request(now time.Duration, id RequestID, customer string, priority int, wait time.Duration) []Action {
+// full, or if the expected wait for a slot is longer than is useful.
+func (d *Dispatcher) Request(now time.Duration, id RequestID, demand Demand) []Action {
 	d.actions = d.actions[:0]
-	if expected := d.ExpectedWait(priority); expected > wait || len(d.queue) >= maxQueue {
-		reason := verdict.DeadlineExpected
-		if expected <= wait {
-			reason = verdict.QueueFull
-		}
-		d.actions = append(d.actions, Action{Kind: ActionRefuse, Request: id, Reason: reason})
+	d.recordDemand(now, demand)
+	r := &dispatchRequest{Demand: demand, id: id, state: stateWaitingForConn, since: now}
+	if reason, expected := d.admissionRefusal(now, r); reason != "" {
+		d.actions = append(d.actions, Action{Kind: ActionRefuse, Request: id, Reason: reason, Expected: expected})
 		return d.actions
 	}
-	r := &dispatchRequest{id: id, customer: customer, priority: priority, state: stateWaitingForConn, since: now}
 	d.requests[id] = r
 	d.queue = append(d.queue, r)
 	return d.dispatch(now)
 }
 
+// admissionRefusal returns the reason for which a new request is refused at once, or "",
+// and its expected wait.
+func (d *Dispatcher) admissionRefusal(now time.Duration, r *dispatchRequest) (reason verdict.Reason, expected time.Duration) {
+	var useful time.Duration
+	if d.settings.Scheduling == EarliestTarget {
+		expected, useful = d.contendedWait(now, r), d.latestStart(r)-now
+	} else {
+		expected, useful = d.ExpectedWait(now, r.Priority), r.Wait
+	}
+	switch {
+	case expected > useful && d.settings.Scheduling != arrivalOrder:
+		return verdict.DeadlineExpected, expected
+	case len(d.queue) >= maxQueue:
+		return verdict.QueueFull, expected
+	}
+	return "", expected
+}
+
 // Resume queues the next statement of a request that holds a connection.
 func (d *Dispatcher) Resume(now time.Duration, id RequestID) []Action {
 	d.actions = d.actions[:0]
 	if r, ok := d.requests[id]; ok && r.state == stateIdleInTransaction {
-		r.state, r.since = stateWaitingForSlot, now
+		r.state, r.since, r.resumed = stateWaitingForSlot, now, true
 		d.queue = append(d.queue, r)
 	}
 	return d.dispatch(now)
@@ -230,7 +283,10 @@
 	}
 	delete(d.requests, id)
 	if r.conn != nil {
-		d.account(r.customer).heldConns--
+		d.account(r.Customer).heldConns--
+		if r.Transaction {
+			d.contention.transactionConns--
+		}
 		r.conn.busy, r.conn.lastUsed = false, now
 		if !reuse {
 			d.markClosing(r.conn)
@@ -250,6 +306,8 @@
 	d.actions = d.actions[:0]
 	if c, ok := d.conns[id]; ok && c.opening {
 		d.account(c.customer).serviceTime += now - c.lastUsed
+		d.contention.use[0].add(now, useWindow, float64(now-c.lastUsed))
+		d.contention.openTime = average(d.contention.openTime, now-c.lastUsed)
 		c.opening, c.lastUsed = false, now
 		d.slotsInUse--
 	}
@@ -272,10 +330,8 @@
 	}
 	if !d.hasConn(c.customer) {
 		for _, r := range append([]*dispatchRequest(nil), d.queue...) {
-			if r.customer == c.customer && r.state == stateWaitingForConn {
-				d.dequeue(r)
-				delete(d.requests, r.id)
-				d.actions = append(d.actions, Action{Kind: ActionRefuse, Request: r.id, Reason: reason})
+			if r.Customer == c.customer && r.state == stateWaitingForConn {
+				d.refuse(r, reason, 0)
 			}
 		}
 	}
@@ -330,16 +386,19 @@
 func (d *Dispatcher) freeSlot(now time.Duration, r *dispatchRequest) {
 	d.slotsInUse--
 	service := now - r.since
+	d.recordService(now, r, service)
 	d.meanService = average(d.meanService, service)
-	d.account(r.customer).serviceTime += service
+	d.account(r.Customer).serviceTime += service
 }
 
 // dispatch starts waiting requests in the free slots. If the customer of a
 // request has no idle connection, a connection is opened in the slot instead,
 // so that a customer without connections does not starve.
 func (d *Dispatcher) dispatch(now time.Duration) []Action {
+	d.refuseExpired(now)
 	for d.slotsInUse < d.slots() && d.startNext(now) {
 	}
+	d.refuseUnservable(now)
 	return d.actions
 }
 
@@ -352,21 +411,31 @@
 			opening[c.customer]++
 		}
 	}
-	for _, r := range d.waitersInOrder() {
+	soon := d.connsFreeSoon(now)
+	for _, r := range d.waitersInOrder(now) {
 		if r.state == stateWaitingForSlot {
 			d.start(now, r, r.conn)
 			return true
 		}
-		if c := d.idleConn(r.customer); c != nil {
+		if r.Transaction && !d.mayOpenTransaction(now) {
+			d.contention.counts.TransactionsHeldBack++
+			continue
+		}
+		if c := d.idleConn(r.Customer); c != nil {
 			d.start(now, r, c)
 			return true
 		}
-		if opening[r.customer] > 0 {
-			opening[r.customer]--
+		if opening[r.Customer] > 0 {
+			opening[r.Customer]--
 			continue
 		}
-		if d.account(r.customer).heldConns < d.maxConnsPerCustomer(now) && d.makeRoom(now, r.customer) {
-			d.open(now, r.customer)
+		if soon[r.Customer] > 0 {
+			soon[r.Customer]--
+			d.contention.counts.OpeningsAvoided++
+			continue
+		}
+		if d.account(r.Customer).heldConns < d.maxConnsPerCustomer(now) && d.makeRoom(now, r.Customer) {
+			d.open(now, r.Customer)
 			return true
 		}
 	}
@@ -376,7 +445,13 @@
 // waitersInOrder returns the waiting requests in the order in which they are
 // scheduled: statements of open transactions before new requests, and new
 // requests by priority and by the service time that the customer has used.
-func (d *Dispatcher) waitersInOrder() []*dispatchRequest {
+func (d *Dispatcher) waitersInOrder(now time.Duration) []*dispatchRequest {
+	switch d.settings.Scheduling {
+	case EarliestTarget:
+		return d.waitersByTarget(now)
+	case arrivalOrder:
+		return d.queue
+	}
 	waiters := slices.Clone(d.queue)
 	slices.SortStableFunc(waiters, func(a, b *dispatchRequest) int {
 		switch {
@@ -396,10 +471,10 @@
 
 // precedes reports whether the new request a is scheduled before b.
 func (d *Dispatcher) precedes(a, b *dispatchRequest) bool {
-	if a.priority != b.priority {
-		return a.priority < b.priority
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
 	}
-	return d.account(a.customer).serviceTime < d.account(b.customer).serviceTime
+	return d.account(a.Customer).serviceTime < d.account(b.Customer).serviceTime
 }
 
 // idleConn returns the most recently used idle connection of the customer, or
@@ -416,14 +491,19 @@
 
 // start runs the next statement of a waiting request on the connection.
 func (d *Dispatcher) start(now time.Duration, r *dispatchRequest, c *dispatchConn) {
+	d.recordStart(now, r)
 	d.dequeue(r)
 	d.slotsInUse++
 	kind := ActionContinue
-	a := d.account(r.customer)
+	a := d.account(r.Customer)
 	if r.state == stateWaitingForConn {
 		kind = ActionGrant
 		r.conn, c.busy = c, true
+		c.use.add(now, connUseWindow, 1)
 		a.heldConns++
+		if r.Transaction {
+			d.contention.transactionConns++
+		}
 	}
 	// A customer gets no credit for the time in which it had no requests.
 	a.serviceTime = max(a.serviceTime, d.virtualTime)
@@ -447,22 +527,23 @@
 func (d *Dispatcher) maxConnsPerCustomer(now time.Duration) int { return max(d.budget(now)/2, 1) }
 
 // makeRoom reports whether the budget allows another connection now. If the
-// budget is used up, it closes the least recently used idle connection of another
+// budget is used up, it closes the least valuable idle connection of another
 // customer and returns false.
 func (d *Dispatcher) makeRoom(now time.Duration, customer string) bool {
 	if d.connections() < d.budget(now) {
 		return true
 	}
-	var oldest *dispatchConn
+	var victim *dispatchConn
 	for _, c := range d.conns {
-		if !c.busy && !c.opening && c.customer != customer && (oldest == nil || c.lastUsed < oldest.lastUsed) {
-			oldest = c
+		if !c.busy && !c.opening && c.customer != customer && (victim == nil || d.leastValuable(now, c, victim)) {
+			victim = c
 		}
 	}
-	if oldest != nil {
+	if victim != nil {
 		// The connection counts until the server has closed it, so none may be
 		// opened yet.
-		d.close(oldest)
+		d.contention.counts.Displaced++
+		d.close(victim)
 	}
 	return false
 }
--- a/internal/backend/dispatcher_test.go
+++ b/internal/backend/dispatcher_test.go
@@ -72,6 +72,7 @@
 func TestDispatcherRespectsLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		settings := Settings{Slots: rapid.IntRange(1, 3).Draw(t, "slots"), Connections: rapid.IntRange(6, 12).Draw(t, "connections")}
+		settings.Scheduling = rapid.SampledFrom([]Scheduling{LeastService, EarliestTarget}).Draw(t, "scheduling")
 		h := newDispatcherHarness(settings)
 		customers := []string{"a", "b", "c", "d"}
 		customerOf := map[RequestID]string{}
@@ -86,7 +87,7 @@
 			case step == 0 || len(held) == 0:
 				next++
 				customerOf[next] = rapid.SampledFrom(customers).Draw(t, "customer")
-				h.apply(h.d.Request(h.now, next, customerOf[next], rapid.IntRange(0, 2).Draw(t, "priority"), longWait))
+				h.apply(h.d.Request(h.now, next, Demand{Customer: customerOf[next], Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Wait: longWait}))
 			case step == 1:
 				h.completeOpensAndCloses()
 			default:
@@ -130,10 +131,10 @@
 func TestDispatcherSharesSlotsBetweenCustomers(t *testing.T) {
 	h := newDispatcherHarness(Settings{Slots: 1, Connections: 12})
 	for id := RequestID(1); id <= 40; id++ {
-		h.apply(h.d.Request(h.now, id, "hot", 1, longWait))
+		h.apply(h.d.Request(h.now, id, Demand{Customer: "hot", Priority: 1, Wait: longWait}))
 	}
 	h.completeOpensAndCloses()
-	h.apply(h.d.Request(h.now, 100, "calm", 1, longWait))
+	h.apply(h.d.Request(h.now, 100, Demand{Customer: "calm", Priority: 1, Wait: longWait}))
 	h.completeOpensAndCloses()
 	served := 0
 	for !h.running[100] {
@@ -157,19 +158,19 @@
 // than is useful.
 func TestDispatcherRefusesWhenExpectedWaitIsTooLong(t *testing.T) {
 	h := newDispatcherHarness(Settings{Slots: 1, Connections: 12})
-	h.apply(h.d.Request(h.now, 1, "a", 1, longWait))
+	h.apply(h.d.Request(h.now, 1, Demand{Customer: "a", Priority: 1, Wait: longWait}))
 	h.completeOpensAndCloses()
 	h.now += 100 * time.Millisecond
 	delete(h.running, 1)
 	h.apply(h.d.Finish(h.now, 1, true)) // the mean is now 100 ms
 	for id := RequestID(2); id < 12; id++ {
-		h.apply(h.d.Request(h.now, id, "a", 1, longWait))
+		h.apply(h.d.Request(h.now, id, Demand{Customer: "a", Priority: 1, Wait: longWait}))
 	}
 	h.completeOpensAndCloses()
-	h.apply(h.d.Request(h.now, 50, "a", 1, 100*time.Millisecond))
+	h.apply(h.d.Request(h.now, 50, Demand{Customer: "a", Priority: 1, Wait: 100 * time.Millisecond}))
 	assert.Equal(t, h.refused[50], verdict.DeadlineExpected)
 	// A request of a more urgent priority is scheduled before the others.
-	h.apply(h.d.Request(h.now, 51, "a", 0, 100*time.Millisecond))
+	h.apply(h.d.Request(h.now, 51, Demand{Customer: "a", Priority: 0, Wait: 100 * time.Millisecond}))
 	assert.Equal(t, h.refused[51], verdict.Reason(""))
 }
 
@@ -178,17 +179,17 @@
 // own.
 func TestDispatcherLowersBudgetAfterRejectedConnection(t *testing.T) {
 	h := newDispatcherHarness(Settings{Slots: 2, Connections: 12})
-	h.apply(h.d.Request(h.now, 1, "a", 1, longWait))
+	h.apply(h.d.Request(h.now, 1, Demand{Customer: "a", Priority: 1, Wait: longWait}))
 	h.completeOpensAndCloses()
 	delete(h.running, 1)
 	h.apply(h.d.Finish(h.now, 1, true))
-	h.apply(h.d.Request(h.now, 2, "b", 1, longWait))
+	h.apply(h.d.Request(h.now, 2, Demand{Customer: "b", Priority: 1, Wait: longWait}))
 	for id := range h.opening {
 		delete(h.opening, id)
 		h.apply(h.d.RecordOpenFailed(h.now, id, verdict.ConnectionLimit))
 	}
 	assert.Equal(t, h.refused[2], verdict.ConnectionLimit)
-	h.apply(h.d.Request(h.now, 3, "b", 1, longWait))
+	h.apply(h.d.Request(h.now, 3, Demand{Customer: "b", Priority: 1, Wait: longWait}))
 	assert.Equal(t, h.closing, 1) // a's idle connection makes room
 	h.completeOpensAndCloses()
 	assert.Assert(t, h.running[3])
--- a/internal/backend/shared.go
+++ b/internal/backend/shared.go
@@ -36,6 +36,9 @@
 	Slots int
 	// Connections is the server's connection limit.
 	Connections int
+	// Scheduling is the order in which a Dispatcher serves waiting requests. A
+	// SharedDispatcher does not use it.
+	Scheduling Scheduling
 }
 
 // ActionKind is the kind of an Action.
@@ -63,6 +66,9 @@
 	Request RequestID
 	Conn    ConnID
 	Reason  verdict.Reason
+	// Expected is the wait that a refused request of a Dispatcher would have had, 0 if its
+	// useful wait had passed.
+	Expected time.Duration
 	// Customer is the owner of the connection to open. It is empty if the
 	// customers share the connections.
 	Customer string
--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -88,9 +88,8 @@
 
 // acquire waits for a slot and a connection that the server has not closed.
 func (c *call) acquire(p *serverPool) (backend.RequestID, *conn, error) {
-	wait := time.Duration(c.req.GetWaitUs()) * time.Microsecond
 	for range maxClosedConns {
-		id, conn, err := p.acquire(c.ctx, c.req.GetCustomer(), int(c.req.GetPriority()), wait, c.deadline)
+		id, conn, err := p.acquire(c.ctx, c.demand())
 		if err != nil || conn.IsOpen() {
 			return id, conn, err
 		}
@@ -100,6 +99,19 @@
 	return 0, nil, verdict.New(verdict.NotRun, verdict.ConnectionLost, "backend server %s had closed its idle connections", p.server.Name)
 }
 
+// demand returns what the request asks of the dispatcher.
+func (c *call) demand() backend.Demand {
+	d := backend.Demand{
+		Customer: c.req.GetCustomer(), Priority: int(c.req.GetPriority()), Wait: time.Duration(c.req.GetWaitUs()) * time.Microsecond,
+		Deadline: c.deadline, Writes: statement.Kind(c.req.GetKind()) == statement.Write || c.req.GetShapeWrites(),
+		Transaction: c.req.GetBeginText() != "",
+	}
+	if t := c.req.GetTargetUs(); t != 0 {
+		d.Target = c.began + time.Duration(t)*time.Microsecond
+	}
+	return d
+}
+
 // checkConn verifies that the host may still use the server as the primary, if the
 // transaction needs it, and that the connection answers. A connection that may be
 // unresponsive is probed by resetting it.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -72,9 +72,11 @@
 	IsHomeHost func(server string) bool
 	// ReportLoads adds the load of the server to the response of a statement.
 	ReportLoads bool
-	Clock       clock.Clock
-	Log         *log.Logger
-	Counters    *telemetry.Counters
+	// ContentionControl serves waiting requests by what can still be served in time.
+	ContentionControl bool
+	Clock             clock.Clock
+	Log               *log.Logger
+	Counters          *telemetry.Counters
 }
 
 // Executor runs statements at the backend servers of which this host is the home host.
@@ -137,6 +139,7 @@
 	x.mu.Lock()
 	for _, p := range x.pools {
 		p.withDispatcher(func(now time.Duration) []backend.Action { return p.dispatcher.DropIdle(now, maxConnIdle) })
+		p.countDecisions()
 	}
 	for handle, tx := range x.transactions {
 		if !tx.busy && now-tx.lastUsed > limit {
@@ -197,9 +200,9 @@
 	if !ok {
 		p = newServerPool(x, s)
 		x.pools[name] = p
-	} else if dispatcherSettings(s) != dispatcherSettings(p.server) {
+	} else if x.dispatcherSettings(s) != x.dispatcherSettings(p.server) {
 		p.server.Slots, p.server.Connections = s.Slots, s.Connections
-		p.withDispatcher(func(now time.Duration) []backend.Action { return p.dispatcher.Configure(now, dispatcherSettings(s)) })
+		p.withDispatcher(func(now time.Duration) []backend.Action { return p.dispatcher.Configure(now, x.dispatcherSettings(s)) })
 	}
 	return p, nil
 }
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -69,13 +69,17 @@
 
 func newServerPool(x *Executor, s catalog.Server) *serverPool {
 	return &serverPool{
-		x: x, server: s, dispatcher: backend.NewDispatcher(dispatcherSettings(s)),
+		x: x, server: s, dispatcher: backend.NewDispatcher(x.dispatcherSettings(s)),
 		conns: map[backend.ConnID]*conn{}, waiters: map[backend.RequestID]chan backend.Action{},
 	}
 }
 
-func dispatcherSettings(s catalog.Server) backend.Settings {
-	return backend.Settings{Slots: s.Slots, Connections: s.Connections}
+func (x *Executor) dispatcherSettings(s catalog.Server) backend.Settings {
+	settings := backend.Settings{Slots: s.Slots, Connections: s.Connections}
+	if x.opt.ContentionControl {
+		settings.Scheduling = backend.EarliestTarget
+	}
+	return settings
 }
 
 // applyActions executes the dispatcher's actions. The caller must hold mu.
@@ -138,8 +142,8 @@
 }
 
 // acquire waits for a slot and a connection of the customer. The dispatcher refuses the
-// request when it expects a wait of more than wait.
-func (p *serverPool) acquire(ctx context.Context, customer string, priority int, wait time.Duration, deadline time.Duration) (backend.RequestID, *conn, error) {
+// request when it expects a wait that is longer than useful.
+func (p *serverPool) acquire(ctx context.Context, demand backend.Demand) (backend.RequestID, *conn, error) {
 	w := make(chan backend.Action, 1)
 	p.mu.Lock()
 	if p.retired {
@@ -149,9 +153,14 @@
 	p.lastID++
 	id := p.lastID
 	p.waiters[id] = w
-	p.applyActions(p.dispatcher.Request(p.x.opt.Clock(), id, customer, priority, wait))
+	now := p.x.opt.Clock()
+	p.applyActions(p.dispatcher.Request(now, id, demand))
 	p.mu.Unlock()
-	return p.awaitGrant(ctx, id, w, deadline)
+	giveUp := demand.Deadline
+	if p.x.opt.ContentionControl {
+		giveUp = min(giveUp, now+demand.Wait)
+	}
+	return p.awaitGrant(ctx, id, w, giveUp)
 }
 
 // resume waits for a slot for the next statement of a request that holds a connection.
@@ -188,7 +197,7 @@
 		}
 	}
 	if a.Kind == backend.ActionRefuse {
-		return 0, nil, verdict.New(verdict.NotRun, a.Reason, "backend server %s cannot serve the request in time", p.server.Name)
+		return 0, nil, verdict.New(verdict.NotRun, a.Reason, "backend server %s cannot serve the request in time, its expected wait is %v", p.server.Name, a.Expected.Round(time.Millisecond))
 	}
 	return id, p.conns[a.Conn], nil
 }
@@ -251,6 +260,21 @@
 	return true
 }
 
+// countDecisions adds the dispatcher's decisions since the last call to the counters.
+func (p *serverPool) countDecisions() {
+	p.mu.Lock()
+	d := p.dispatcher.TakeCounts()
+	p.mu.Unlock()
+	for name, n := range map[string]uint64{
+		"waiting_requests_expired": d.Expired, "waiting_requests_unservable": d.Unservable, "starved_requests_first": d.Starved,
+		"backend_connections_displaced": d.Displaced, "backend_openings_avoided": d.OpeningsAvoided, "transactions_held_back": d.TransactionsHeldBack,
+	} {
+		if n > 0 {
+			p.x.opt.Counters.Add(name, int64(n))
+		}
+	}
+}
+
 // recordOverdueAnswer records that the server did not answer in time.
 func (p *serverPool) recordOverdueAnswer() {
 	p.mu.Lock()
