Refuse at the entry host what a home host refuses anyway

Entry hosts count requests and acceptances by server and by customer and send about twice what was accepted; the smaller share of refusals counts, unless the home host reports that it can serve no further request in time. A report of a free slot ends it. Latency targets go to the home host. All of it and the order at the home host are on with ContentionControl.

--- /dev/null
+++ b/internal/admission/throttle.go
@@ -0,0 +1,121 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
+)
+
+const (
+	// window is the time constant over which requests and acceptances are counted.
+	window = time.Second
+	// acceptMargin is the multiple of the recently accepted requests that is sent on, so
+	// that a home host gets more than it served and room that becomes free is found.
+	acceptMargin = 2.0
+	// minServerRefused and minCustomerRefused are the numbers of recent refusals by a
+	// server, or of a customer, that have no effect. The former is small because all entry
+	// hosts together must not overload the home host with requests that it refuses.
+	minServerRefused   = 1.0
+	minCustomerRefused = 3.0
+	// maxLoadAge is the age up to which a reported load is used. Heartbeats report loads
+	// every 300 ms.
+	maxLoadAge = 500 * time.Millisecond
+	// maxKeys limits the counts that are kept. Beyond it, counts that have decayed are
+	// removed.
+	maxKeys = 4096
+)
+
+// Request is a request that is about to be sent to the home host of a server.
+type Request struct {
+	Server, Customer string
+	Priority         int
+	// Wait is the longest useful wait for a slot.
+	Wait time.Duration
+	// Load is the newest known load of the server and LoadAge its age; LoadKnown is false
+	// if there is none.
+	Load      serverload.Load
+	LoadAge   time.Duration
+	LoadKnown bool
+}
+
+// key names requests that are counted together: those of a priority at a server, or those
+// of a priority and a customer.
+type key struct {
+	server, customer string
+	priority         int
+}
+
+// counts are the decaying numbers of requests and of those that home hosts accepted.
+type counts struct {
+	requests, accepted float64
+	at                 time.Duration
+}
+
+// hopeless returns the share of further requests that should not be sent, when so many
+// refusals have no effect.
+func (c *counts) hopeless(without float64) float64 {
+	return max(c.requests-acceptMargin*c.accepted-without, 0) / (c.requests + 1)
+}
+
+// Throttle counts requests and refuses those that a home host would most likely refuse.
+// It is not safe for concurrent use.
+type Throttle struct {
+	counts map[key]*counts
+}
+
+// NewThrottle returns a Throttle that refuses nothing yet.
+func NewThrottle() *Throttle { return &Throttle{counts: map[key]*counts{}} }
+
+func (t *Throttle) both(now time.Duration, r Request) (server, customer *counts) {
+	return t.get(now, key{server: r.Server, priority: r.Priority}), t.get(now, key{customer: r.Customer, priority: r.Priority})
+}
+
+// Admit counts a request and reports whether to send it. random is in [0, 1).
+//
+// A request is refused in proportion to the refusals of its server and of its customer,
+// whichever are fewer, so that a customer within its share is not refused for the surge
+// of another. While the server reports that no further request of the priority can be
+// served in time, the refusals of the server alone count. While it reports a free slot,
+// every request is sent.
+func (t *Throttle) Admit(now time.Duration, r Request, random float64) bool {
+	server, customer := t.both(now, r)
+	refuse := server.hopeless(minServerRefused)
+	recent := r.LoadKnown && r.LoadAge <= maxLoadAge
+	if !recent || r.Load.ExpectedWait(r.Priority) <= r.Wait {
+		refuse = min(refuse, customer.hopeless(minCustomerRefused))
+	}
+	server.requests++
+	customer.requests++
+	return recent && r.Load.Waiting == 0 && r.Load.Running < r.Load.Slots || random >= refuse
+}
+
+// Record counts a request that a home host accepted: it did not refuse it because it
+// could not serve it in time.
+func (t *Throttle) Record(now time.Duration, r Request) {
+	server, customer := t.both(now, r)
+	server.accepted++
+	customer.accepted++
+}
+
+func (t *Throttle) get(now time.Duration, k key) *counts {
+	c, ok := t.counts[k]
+	if !ok {
+		if len(t.counts) >= maxKeys {
+			t.removeDecayed(now)
+		}
+		c = &counts{at: now}
+		t.counts[k] = c
+	}
+	f := math.Exp(-float64(now-c.at) / float64(window))
+	c.requests, c.accepted, c.at = c.requests*f, c.accepted*f, now
+	return c
+}
+
+func (t *Throttle) removeDecayed(now time.Duration) {
+	for k, c := range t.counts {
+		if now-c.at > 4*window {
+			delete(t.counts, k)
+		}
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/admission"
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/internal/freshness"
@@ -57,6 +58,9 @@
 	// Loads holds the known loads of backend servers. It is empty unless home hosts
 	// report them.
 	Loads *serverload.Table
+	// ContentionControl refuses statements that home hosts cannot serve in time, by the
+	// known loads, and tells home hosts the latency targets.
+	ContentionControl bool
 	// MaxClients limits the number of open sessions.
 	MaxClients int
 	// AbortAfter is the time after the start of a planned stop at which open
@@ -88,6 +92,7 @@
 	sessions    map[*session]struct{}
 	balancer    *routing.Balancer
 	retryBudget *routing.RetryBudget
+	throttle    *admission.Throttle
 	samples     *freshness.Samples
 
 	// The phases of a planned stop: closing is set when idle sessions have to end,
@@ -100,7 +105,7 @@
 	return &Frontend{
 		opt: opt, sessions: map[*session]struct{}{}, samples: freshness.New(),
 		balancer:    routing.NewBalancer(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0))),
-		retryBudget: routing.NewRetryBudget(),
+		retryBudget: routing.NewRetryBudget(), throttle: admission.NewThrottle(),
 	}
 }
 
--- a/internal/frontend/operation.go
+++ b/internal/frontend/operation.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -50,6 +51,8 @@
 	// is the log position that the attempt required.
 	server, host string
 	floor        statement.Position
+	// refusedHere is set when this host refused the last attempt before the hop.
+	refusedHere bool
 }
 
 func (s *session) newOperation(st statement.Statement, route config.Route, arrived time.Duration) *operation {
@@ -142,11 +145,14 @@
 	f.retryBudget.AddFirstAttempt()
 }
 
-// takeRetry takes one retry from the retry budget. It returns false when the budget is
-// exhausted.
-func (f *Frontend) takeRetry() bool {
+// takeRetry takes one retry of a request of the given priority from the retry budget. It
+// returns false when the budget is exhausted.
+func (f *Frontend) takeRetry(priority int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.opt.ContentionControl {
+		return f.retryBudget.TakeRetryOf(f.opt.Clock(), priority)
+	}
 	return f.retryBudget.TakeRetry(f.opt.Clock())
 }
 
@@ -256,8 +262,9 @@
 			}
 		}
 		// A replica that is too stale has run nothing, and the primary is tried at last:
-		// such a retry does not multiply the load of a failing server.
-		if e.Reason != verdict.NoFreshReplica && !o.s.f.takeRetry() {
+		// such a retry does not multiply the load of a failing server. The same holds for an
+		// attempt that this host refused itself.
+		if e.Reason != verdict.NoFreshReplica && !o.refusedHere && !o.s.f.takeRetry(o.route.Priority) {
 			return nil, last
 		}
 		o.s.f.opt.Counters.CountRetry(e.Reason)
@@ -353,7 +360,7 @@
 // callHost sends the request to a host and waits for the answer until limit.
 func (o *operation) callHost(host routing.Host, req *peerpb.ExecuteRequest, limit time.Duration) (*peerpb.ExecuteResponse, error) {
 	o.attempts++
-	o.host = host.Name
+	o.host, o.refusedHere = host.Name, false
 	sent := o.now()
 	left := limit - sent
 	if left <= 0 {
@@ -361,15 +368,22 @@
 	}
 	req.TimeoutUs = left.Microseconds()
 	req.WaitUs = min(left, time.Duration(slotWaitShare*float64(o.latencyTarget()))).Microseconds()
+	if o.s.f.opt.ContentionControl {
+		if err := o.admit(req); err != nil {
+			return nil, err
+		}
+		req.TargetUs = cmp.Or((o.began + o.latencyTarget() - sent).Microseconds(), -1)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), left+callTimeoutMargin)
 	defer cancel()
 	resp, err := o.s.f.opt.Fleet.Execute(ctx, host, req)
+	if err == nil && resp.GetFailure() != nil {
+		err = peer.DecodeFailure(resp.GetFailure())
+	}
+	o.recordAdmission(req, err)
 	if err != nil {
 		return nil, err
 	}
-	if f := resp.GetFailure(); f != nil {
-		return nil, peer.DecodeFailure(f)
-	}
 	if p := resp.GetPosition(); resp.GetAuthoritative() && p != nil {
 		o.s.f.Observe(o.route.Group, sent, statement.Position{Term: p.GetTerm(), Number: p.GetPosition()})
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -171,7 +171,8 @@
 	})
 	h.executor = executor.New(executor.Options{
 		Dialer: a.Dialer, Authority: h.failover, Snapshot: h.catalog.Snapshot, IsHomeHost: h.directory.isHomeHost,
-		ReportLoads: a.Features.ContentionControl || a.Features.ServerSupervision, Clock: h.clock, Log: h.log, Counters: h.counters,
+		ReportLoads: a.Features.ContentionControl || a.Features.ServerSupervision, ContentionControl: a.Features.ContentionControl,
+		Clock: h.clock, Log: h.log, Counters: h.counters,
 	}, rand.Uint64()>>1)
 	h.peerCalls = &peerCalls{
 		directory: h.directory, pool: peer.NewPool(nil, nil), executor: h.executor, failover: h.failover, counters: h.counters,
@@ -192,7 +193,7 @@
 	h.frontend = frontend.New(frontend.Options{
 		Listener: h.listeners[clientListener], NewClient: a.NewClient, Snapshot: h.catalog.Snapshot, KeysFresh: h.catalog.KeysFresh,
 		Fleet: h.peerCalls, Limiter: h.limiter, Clock: h.clock, Log: h.log, Counters: h.counters,
-		Latencies: latencies, Loads: h.peerCalls.loads,
+		Latencies: latencies, Loads: h.peerCalls.loads, ContentionControl: a.Features.ContentionControl,
 		MaxClients: max(h.settings.Descriptors-reservedDescriptors, 1), AbortAfter: h.settings.StopGrace.Std()/2 + stopMargin/4,
 	})
 	h.peerCalls.frontend = h.frontend
