--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v4"
@@ -29,6 +30,7 @@
 	callers := flags.Int(0, "callers", soakCallers, "number of callers")
 	duration := flags.Duration(0, "length", soakDuration, "length of a run")
 	dir := flags.String(0, "dir", "", "directory for logs and results; default is a new one under the temporary directory")
+	requirements := flags.String(0, "requirements", "", "comma-separated requirements in the settings of the hosts, which switch optional parts on")
 	replay := flags.String(0, "replay", "", "result.json of an earlier run whose plan is to be replayed")
 	return &ff.Command{
 		Name:      "soak",
@@ -49,7 +51,11 @@
 			}
 			var plans []soak.Plan
 			for i := range *runs {
-				plans = append(plans, soak.NewPlan(*seed+uint64(i), *hosts, *callers, *duration))
+				p := soak.NewPlan(*seed+uint64(i), *hosts, *callers, *duration)
+				if *requirements != "" {
+					p.Requirements = strings.Split(*requirements, ",")
+				}
+				plans = append(plans, p)
 			}
 			if *replay != "" {
 				p, err := loadPlan(*replay)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -149,6 +149,8 @@
 	// thinkTime; results of earlier versions have no such field.
 	ThinkTime time.Duration `json:"think"`
 	Events    []Event       `json:"events"`
+	// Requirements are the host's setting of that name.
+	Requirements []string `json:"requirements,omitempty"`
 }
 
 const (
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -170,6 +170,7 @@
 			Store: store.Address(), Promotion: r.env.PromotionAddress(), KeyGrace: config.Duration(keyGrace),
 			RateWindow: config.Duration(5 * time.Second), RateOverage: 0.1, RateSlack: 20,
 			StopGrace: config.Duration(stopGrace), MemoryMB: hostMemoryMB, Descriptors: hostDescriptors, Cores: 1, ProcessorShare: 1, LinkMbps: 1000, LogLevel: "info",
+			Requirements: r.Plan.Requirements,
 		},
 	}, nil
 }
