Recover sooner from a restart of many hosts and the loss of a zone

Of a zone that was cut off, each host was suspected by itself, after 2.5 s.

Change, with host.Features.FastRecovery only (contract "pool"): - A new minter mints from the end of its predecessor's process where that is known, see docs/design/recovery.md for why the limit holds. - Requests wait for a minter that starts, up to 0.75 of their latency target. - Roles are claimed as soon as the rows are read; first long poll after 0.1 s; heartbeats every 0.1 s in the first second; hosts that have just registered count as alive for 1 s; callers are accepted with the first configuration. - The hosts of a zone are suspected together when three of them leave probes unanswered while every other zone answers.

Changes to tests: gossip_test.go passes the time to RecordAnswer and lets hosts be slow; no check is changed.

--- a/internal/customer/spender.go
+++ b/internal/customer/spender.go
@@ -28,6 +28,10 @@
 	// responded that it no longer holds the minter role. The new holder is known
 	// within one or two heartbeats.
 	movedRetryDelay = 50 * time.Millisecond
+	// maxPatientPause bounds the pause between rounds for requests that wait for new
+	// minters. It doubles after each empty round, maxPauseDoublings times.
+	maxPatientPause   = 100 * time.Millisecond
+	maxPauseDoublings = 4
 	// minRoundPause bounds the rate of grant requests while no zone has tokens.
 	minRoundPause = 5 * time.Millisecond
 )
@@ -69,6 +73,7 @@
 type queuedRequest struct {
 	id       RequestID
 	deadline time.Duration
+	patient  bool // the request waits longer than the Spender's maximum wait
 }
 
 type heldGrant struct {
@@ -106,6 +111,7 @@
 	lastTicket  uint64
 	roundZones  []string      // zones still to be tried in this round; nil between rounds
 	nextRoundAt time.Duration // start of the next round
+	emptyRounds int           // consecutive rounds without enough tokens
 	maxWait     time.Duration
 	// zoneTimeout is the time after which an unanswered grant request counts as
 	// failed.
@@ -150,10 +156,16 @@
 // AddRequest adds a request. It refuses the request at once if the queue is too long
 // for the request to get a token within its maximum wait.
 func (s *Spender) AddRequest(now time.Duration, id RequestID) []Action {
-	if s.queueFull() {
+	return s.AddPatientRequest(now, id, s.maxWait)
+}
+
+// AddPatientRequest is like AddRequest with a maximum wait of the request's own, for the
+// time in which minters start anew.
+func (s *Spender) AddPatientRequest(now time.Duration, id RequestID, maxWait time.Duration) []Action {
+	if s.queueFull(maxWait) {
 		return append(s.advance(now), Refuse{ID: id, SkippedZones: s.skippedZones(now)})
 	}
-	s.queue = append(s.queue, queuedRequest{id: id, deadline: now + s.maxWait})
+	s.queue = append(s.queue, queuedRequest{id: id, deadline: now + maxWait, patient: maxWait > s.maxWait})
 	return s.advance(now)
 }
 
@@ -161,12 +173,12 @@
 // fleet mints within the maximum wait. The slack allows for tokens that are still
 // in the buckets. The queue is never full before a round has ended without enough
 // tokens.
-func (s *Spender) queueFull() bool {
+func (s *Spender) queueFull(maxWait time.Duration) bool {
 	if s.nextRoundAt == 0 {
 		return false
 	}
 	const slack = 4
-	return float64(len(s.queue)) >= s.rate*s.maxWait.Seconds()+slack
+	return float64(len(s.queue)) >= s.rate*maxWait.Seconds()+slack
 }
 
 // CancelRequest removes a request whose caller no longer waits.
@@ -190,7 +202,7 @@
 	if amount >= request.amount {
 		// The zone granted the full amount. Requests that arrived in the meantime
 		// start a new round at once. A pause is needed only when no zone has tokens.
-		s.roundZones = nil
+		s.roundZones, s.emptyRounds = nil, 0
 	}
 	if amount > 0 && now < request.sent+s.validity {
 		s.grants = append(s.grants, heldGrant{zone: request.zone, id: grant, amount: amount, remaining: amount, expiresAt: request.sent + s.validity})
@@ -208,7 +220,7 @@
 	if moved {
 		s.cancelOutstanding(now + movedRetryDelay)
 	} else {
-		s.cancelOutstanding(now + unresponsiveRetryDelay)
+		s.cancelOutstanding(now + s.unresponsiveDelay())
 	}
 	return s.advance(now)
 }
@@ -230,7 +242,9 @@
 		earliest(s.outstanding.sent + s.zoneTimeout)
 	}
 	if len(s.queue) > 0 {
-		earliest(s.queue[0].deadline)
+		for _, q := range s.queue {
+			earliest(q.deadline)
+		}
 		if s.outstanding == nil {
 			earliest(s.nextRoundAt)
 		}
@@ -238,6 +252,16 @@
 	return next, found
 }
 
+// unresponsiveDelay returns the time for which a zone that did not answer is skipped. A
+// minter that has just started may answer the next request, so requests that wait for it
+// try again soon.
+func (s *Spender) unresponsiveDelay() time.Duration {
+	if len(s.queue) > 0 && s.queue[0].patient {
+		return maxPatientPause
+	}
+	return unresponsiveRetryDelay
+}
+
 // cancelOutstanding ends the outstanding grant request and skips its zone until
 // the time.
 func (s *Spender) cancelOutstanding(until time.Duration) {
@@ -254,14 +278,14 @@
 	var actions []Action
 	s.dropExpiredGrants(now)
 	if s.outstanding != nil && now >= s.outstanding.sent+s.zoneTimeout {
-		s.cancelOutstanding(now + unresponsiveRetryDelay)
+		s.cancelOutstanding(now + s.unresponsiveDelay())
 	}
 	actions = s.admitQueued(actions)
 	actions = s.refuseOverdue(now, actions)
 	actions = s.requestTokens(now, actions)
 	if len(s.queue) == 0 && s.outstanding == nil {
 		actions = s.returnGrants(actions)
-		s.nextRoundAt, s.roundZones = 0, nil
+		s.nextRoundAt, s.roundZones, s.emptyRounds = 0, nil, 0
 	}
 	return actions
 }
@@ -317,10 +341,13 @@
 
 // refuseOverdue refuses the queued requests whose maximum wait has passed.
 func (s *Spender) refuseOverdue(now time.Duration, actions []Action) []Action {
-	for len(s.queue) > 0 && now >= s.queue[0].deadline {
-		actions = append(actions, Refuse{ID: s.queue[0].id, SkippedZones: s.skippedZones(now)})
-		s.queue = s.queue[1:]
-	}
+	s.queue = slices.DeleteFunc(s.queue, func(q queuedRequest) bool {
+		if now < q.deadline {
+			return false
+		}
+		actions = append(actions, Refuse{ID: q.id, SkippedZones: s.skippedZones(now)})
+		return true
+	})
 	return actions
 }
 
@@ -355,6 +382,7 @@
 	}
 	s.roundZones = nil
 	s.nextRoundAt = now + s.roundPause()
+	s.emptyRounds++
 	return s.returnGrants(actions)
 }
 
@@ -365,7 +393,12 @@
 	if s.rate <= 0 {
 		return s.maxWait
 	}
-	return max(minRoundPause, min(s.maxWait, time.Duration(missing/s.rate*float64(time.Second))))
+	pause := max(minRoundPause, min(s.maxWait, time.Duration(missing/s.rate*float64(time.Second))))
+	if s.queue[0].patient {
+		// All hosts have waiting requests while minters start, so their rounds back off.
+		pause = min(pause<<min(s.emptyRounds, maxPauseDoublings), max(pause, maxPatientPause))
+	}
+	return pause
 }
 
 // planRound returns the zones of a round in order: the zone of this host first,
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -10,6 +10,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/guard"
+	"github.com/cranberryhinge/cranberryhinge/internal/limit"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -332,6 +333,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), route.Deadline.Std())
 	defer cancel()
+	if target := route.TargetLatency.Std(); target > 0 {
+		ctx = limit.WithLatencyTarget(ctx, target)
+	}
 	if err := s.f.opt.Limiter.Admit(ctx, s.customer); err != nil && guard.Enabled(guard.Rate) {
 		return verdict.From(err)
 	}
--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -29,6 +29,9 @@
 	// snapshot returns the current snapshot of the catalog.
 	snapshot  func() *catalog.Snapshot
 	ownership *ownership.Shell
+	// skipSilentHolders makes requests ask no minter for tokens whose host is suspected to
+	// be down: the time-out would use up half of their wait.
+	skipSilentHolders bool
 
 	mu        sync.Mutex
 	views     map[string]cachedView
@@ -156,6 +159,9 @@
 // Holder implements limit.Fleet.
 func (f limiterFleet) Holder(role string) (address string, self, ok bool) {
 	h, ok := f.ownership.Holder(role)
+	if ok && f.skipSilentHolders && h != f.self && !f.ownership.Alive(h.Name) {
+		return "", false, false
+	}
 	return h.Address, h == f.self, ok
 }
 
--- a/internal/host/heartbeats.go
+++ b/internal/host/heartbeats.go
@@ -53,6 +53,7 @@
 		c.startHeartbeats(ctx)
 		select {
 		case <-t.C:
+		case <-c.extraRounds:
 		case <-ctx.Done():
 			return
 		}
@@ -144,6 +145,9 @@
 			direct[h.Name] = true
 		}
 	}
+	for _, h := range c.directory.ownership.ZoneProbes(c.rng) {
+		direct[h.Name] = true
+	}
 	for _, t := range targets {
 		delete(direct, t.Name)
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -102,6 +102,8 @@
 	listeners [4]net.Listener
 	readyPath string
 	stopping  atomic.Bool
+	// fastRecovery is the feature of that name.
+	fastRecovery bool
 }
 
 // Indexes into Host.listeners.
@@ -156,7 +158,7 @@
 	}
 	h.ownership = ownership.New(ownership.Options{
 		Self: self, Space: rowSpace, Table: a.Table, Watcher: a.Watcher, WantedRoles: h.directory.wantedRoles,
-		Clock: h.clock, Log: h.log, Counters: h.counters, Latencies: latencies,
+		Clock: h.clock, Log: h.log, Counters: h.counters, Latencies: latencies, FastRecovery: a.Features.FastRecovery,
 	})
 	h.catalog = catalog.NewShell(catalog.Options{
 		Sources: a.Sources, Zones: h.settings.Zones, Watcher: a.Watcher, KeyGrace: h.settings.KeyGrace.Std(),
@@ -177,7 +179,7 @@
 		directory: h.directory, pool: peer.NewPool(nil, nil), executor: h.executor, failover: h.failover, counters: h.counters,
 		workers: pond.NewPool(heartbeatWorkers, pond.WithQueueSize(heartbeatWorkers), pond.WithNonBlocking(true)),
 		loads:   serverload.NewTable(), suspects: map[string]bool{}, followers: map[string]*store.Follower{}, groupStates: map[string]receivedState{},
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), extraRounds: make(chan struct{}, 1),
 	}
 	followers := append(h.catalog.Followers(), h.ownership.Follower())
 	for i, f := range followers {
@@ -185,10 +187,16 @@
 		f.Siblings = slices.Concat(followers[:i], followers[i+1:])
 	}
 	h.minters = limit.NewMinters(limiterFleet{h.directory}, h.clock)
-	h.limiter = limit.New(limit.Options{
+	limits := limit.Options{
 		Fleet: limiterFleet{h.directory}, Peers: h.peerCalls, Minters: h.minters, Clock: h.clock, Counters: h.counters,
 		MaxWait: maxTokenWait, GrantTimeout: tokenRequestTimeout,
-	})
+	}
+	if h.fastRecovery = a.Features.FastRecovery; h.fastRecovery {
+		h.minters.SetPredecessorEnd(h.ownership.PredecessorEnd)
+		h.directory.skipSilentHolders = true
+		limits.Recovering = h.directory.isMinterStarting
+	}
+	h.limiter = limit.New(limits)
 	h.frontend = frontend.New(frontend.Options{
 		Listener: h.listeners[clientListener], NewClient: a.NewClient, Snapshot: h.catalog.Snapshot, KeysFresh: h.catalog.KeysFresh,
 		Fleet: h.peerCalls, Limiter: h.limiter, Clock: h.clock, Log: h.log, Counters: h.counters,
@@ -211,12 +219,12 @@
 	workCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, component := range []func(context.Context){h.catalog.Run, h.ownership.Run, h.failover.Run, h.executor.Run, h.peerCalls.runHeartbeats, h.watchMinterRoles} {
+	for _, component := range []func(context.Context){h.catalog.Run, h.ownership.Run, h.failover.Run, h.executor.Run, h.peerCalls.runHeartbeats, h.runStartupHeartbeats, h.watchMinterRoles} {
 		wg.Go(func() { component(workCtx) })
 	}
 	serveErrors := make(chan error, 4)
 	wg.Go(func() { serveErrors <- errors.Wrap(h.grpc.Serve(h.listeners[peerListener]), "peer listener") })
-	wg.Go(func() { serveErrors <- h.frontend.Run() })
+	wg.Go(func() { serveErrors <- h.serveCallers(workCtx) })
 	h.serveHTTP(&wg, serveErrors)
 	h.log.Info().Str("zone", h.settings.Zone).Str("client", h.settings.Listen.Client).Str("peer", h.settings.Listen.Peer).Msg("host started")
 	err := h.waitForStop(ctx, reload, serveErrors)
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -40,6 +40,8 @@
 	connMonitor connMonitor
 	// rng chooses the targets of heartbeats. Only runHeartbeats uses it.
 	rng *rand.Rand
+	// extraRounds requests a round of heartbeats before the next interval.
+	extraRounds chan struct{}
 
 	mu sync.Mutex
 	// suspects holds the names of hosts to which a call has timed out. The next round
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -63,6 +63,9 @@
 	// ContentionControl schedules the slots and connections of servers by what can still
 	// be served in time, and makes home hosts report the loads of their servers.
 	ContentionControl bool
+	// FastRecovery shortens what callers lose after a restart of many hosts and the loss
+	// of an availability zone, see docs/design/recovery.md.
+	FastRecovery bool
 }
 
 // ListenSettings are the addresses of the listeners.
--- a/internal/limit/limiter.go
+++ b/internal/limit/limiter.go
@@ -40,6 +40,9 @@
 	// time that a zone has to answer a grant request. If one of them is 0, the
 	// defaults of package customer apply to both.
 	MaxWait, GrantTimeout time.Duration
+	// Recovering, if set, reports whether a minter of the customer is starting anew, so
+	// that tokens are expected shortly. Requests then wait longer, see recoveryWait.
+	Recovering func(customer string) bool
 	// OnAdmit, if set, is called when a request is admitted. It must not block.
 	OnAdmit func(customer string)
 }
@@ -118,7 +121,12 @@
 	a.nextID++
 	id := a.nextID
 	a.waiters[id] = done
-	a.perform(a.spender.AddRequest(a.limiter.opts.Clock(), id))
+	if wait, ok := a.recoveryWait(ctx); ok {
+		a.limiter.opts.Counters.Add("token_waits_extended", 1)
+		a.perform(a.spender.AddPatientRequest(a.limiter.opts.Clock(), id, wait))
+	} else {
+		a.perform(a.spender.AddRequest(a.limiter.opts.Clock(), id))
+	}
 	a.mu.Unlock()
 	select {
 	case err := <-done:
--- a/internal/limit/minters.go
+++ b/internal/limit/minters.go
@@ -44,6 +44,8 @@
 type Minters struct {
 	fleet Fleet
 	clock func() time.Duration
+	// predecessorEnd is set by SetPredecessorEnd.
+	predecessorEnd func(role string, epoch uint64) (time.Duration, bool)
 
 	mu    sync.Mutex
 	roles map[string]*roleMinters
@@ -102,7 +104,7 @@
 func (m *Minters) ensureRole(now time.Duration, name string, epoch uint64) *roleMinters {
 	r, ok := m.roles[name]
 	if !ok || r.epoch != epoch {
-		r = &roleMinters{epoch: epoch, startedAt: now, byCustomer: map[string]*customer.Minter{}, shares: map[string]customer.Limit{}}
+		r = &roleMinters{epoch: epoch, startedAt: m.mintsFrom(now, name, epoch), byCustomer: map[string]*customer.Minter{}, shares: map[string]customer.Limit{}}
 		m.roles[name] = r
 	}
 	return r
--- a/internal/ownership/claims.go
+++ b/internal/ownership/claims.go
@@ -194,6 +194,7 @@
 	if r != nil {
 		next.Epoch = r.Epoch + 1
 	}
+	m.recordPredecessorEnd(name, r, next)
 	return m.newRoleWrite(name, r, next, reason), true
 }
 
--- a/internal/ownership/gossip.go
+++ b/internal/ownership/gossip.go
@@ -144,13 +144,19 @@
 
 // RecordUnresponsive records that a host has not answered a heartbeat.
 func (m *Machine) RecordUnresponsive(now time.Duration, host string) {
-	if _, ok := m.hosts[host]; ok {
+	if r, ok := m.hosts[host]; ok {
 		m.unresponsiveUntil[host] = now + unresponsivePause
+		m.zoneWatch.recordProbe(now, r.Host, false)
 	}
 }
 
 // RecordAnswer records that a host has answered a heartbeat.
-func (m *Machine) RecordAnswer(host string) { delete(m.unresponsiveUntil, host) }
+func (m *Machine) RecordAnswer(now time.Duration, host string) {
+	delete(m.unresponsiveUntil, host)
+	if r, ok := m.hosts[host]; ok {
+		m.zoneWatch.recordProbe(now, r.Host, true)
+	}
+}
 
 // responsive returns the hosts that have not just failed to answer, or all of them if
 // all have.
--- a/internal/ownership/gossip_test.go
+++ b/internal/ownership/gossip_test.go
@@ -30,7 +30,9 @@
 	// host skips.
 	lossRate, stallRate float64
 	zoneCut             string
-	exchanges           int
+	// slow are the hosts that answer too late and get their answers too late.
+	slow      map[string]bool
+	exchanges int
 }
 
 type gossipHost struct {
@@ -104,10 +106,14 @@
 	explicit, packed := h.PackHeartbeats(f.now)
 	other.RecordHeartbeats(f.now, explicit)
 	other.RecordPackedHeartbeats(f.now, packed)
+	if f.slow[h.self.Name] || f.slow[target.Name] {
+		h.RecordUnresponsive(f.now, target.Name)
+		return
+	}
 	explicit, packed = other.PackHeartbeats(f.now)
 	h.RecordHeartbeats(f.now, explicit)
 	h.RecordPackedHeartbeats(f.now, packed)
-	h.RecordAnswer(target.Name)
+	h.RecordAnswer(f.now, target.Name)
 	h.RecordExchange(f.now, target.Name)
 	h.sampleAt = max(h.sampleAt, other.sampleAt)
 }
--- a/internal/ownership/liveness.go
+++ b/internal/ownership/liveness.go
@@ -28,6 +28,7 @@
 	m.heartbeats[b.Host] = received
 	if r, ok := m.hosts[b.Host]; ok {
 		r.heartbeat = received
+		m.zoneWatch.recordHeard(now, r.Zone)
 	}
 	if now-m.lastHeartbeatAt > m.suspectTimeout() {
 		// The state of the other hosts is as old as the gap without
@@ -88,6 +89,9 @@
 	if h.Name == m.self.Name {
 		return h.Incarnation == m.self.Incarnation
 	}
+	if m.zoneWatch.isLost(h.Zone) {
+		return false
+	}
 	b, ok := m.heartbeats[h.Name]
 	return ok && b.Incarnation == h.Incarnation && now-b.receivedAt < m.suspectTimeout()
 }
@@ -101,10 +105,10 @@
 }
 
 // Alive reports whether the named host is registered and has sent a recent
-// heartbeat.
+// heartbeat, or has just registered.
 func (m *Machine) Alive(now time.Duration, name string) bool {
 	r, ok := m.hosts[name]
-	return ok && m.isAlive(now, r.Host)
+	return ok && (m.isAlive(now, r.Host) || m.isJustRegistered(now, r))
 }
 
 // Others returns all other registered hosts, sorted by name. The caller must not
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -158,7 +158,10 @@
 	// releasedEpochs holds, for each role, the last epoch in which this host
 	// has stopped using it.
 	releasedEpochs map[string]uint64
-	leaving        bool
+	// predecessorEnds holds, by role, what is known of the holder before this host.
+	predecessorEnds map[string]predecessorEnd
+	startedAt       time.Duration
+	leaving         bool
 	// undecodedRows holds, by key, the revisions of rows that another program has written
 	// and that cannot be decoded. skipped are those that have been reported.
 	undecodedRows map[string]store.Revision
@@ -166,6 +169,8 @@
 	// unresponsiveUntil holds, for each host that has not answered a heartbeat of this
 	// host, the time until which it gets no other one.
 	unresponsiveUntil map[string]time.Duration
+	// zoneWatch is nil unless the hosts of a lost zone are suspected together.
+	zoneWatch *zoneWatch
 	// exchangeRound counts the rounds of heartbeats in a large fleet.
 	exchangeRound int
 	// lastRelayExchangeAt is when an exchange with a relay was last completed.
@@ -180,7 +185,7 @@
 // store that holds its rows.
 func NewMachine(now time.Duration, self Host, space string) *Machine {
 	return &Machine{
-		self: self, space: space, contactSince: now,
+		self: self, space: space, contactSince: now, startedAt: now, predecessorEnds: map[string]predecessorEnd{},
 		hosts: map[string]*hostRow{}, roles: map[string]*roleRow{}, heartbeats: map[string]*receivedHeartbeat{},
 		wantedRoles: map[string]RoleSpec{}, vacantSince: map[string]time.Duration{}, pendingWrites: map[string]time.Duration{},
 		epochRequested: map[string]bool{}, releasedEpochs: map[string]uint64{}, unresponsiveUntil: map[string]time.Duration{}, undecodedRows: map[string]store.Revision{},
--- a/internal/ownership/ranking.go
+++ b/internal/ownership/ranking.go
@@ -56,6 +56,18 @@
 	return m.isAlive(now, h) && !m.isLeaving(h)
 }
 
+// firstHome returns the host that ranks first for a role that needs no lease. Hosts that
+// have just registered count.
+func (m *Machine) firstHome(now time.Duration, role, zone string) (Host, bool) {
+	first := m.firstSuitable(now, role, zone, 1, func(r *hostRow) bool {
+		return m.canHoldRoles(now, r.Host) || m.isJustRegistered(now, r)
+	})
+	if len(first) == 0 {
+		return Host{}, false
+	}
+	return first[0], true
+}
+
 // Rank returns the hosts that can hold the role, best first. These are the live
 // hosts of the zone that are not releasing their roles, or all live hosts if
 // the zone has none.
@@ -65,15 +77,20 @@
 
 // firstRanked returns the first n hosts of Rank.
 func (m *Machine) firstRanked(now time.Duration, role, zone string, n int) []Host {
+	return m.firstSuitable(now, role, zone, n, func(r *hostRow) bool { return m.canHoldRoles(now, r.Host) })
+}
+
+// firstSuitable is firstRanked with another condition than canHoldRoles.
+func (m *Machine) firstSuitable(now time.Duration, role, zone string, n int, canHold func(*hostRow) bool) []Host {
 	if zone != "" {
 		local := firstHosts(m.ranking(role, zone), n, func(r *hostRow) bool {
-			return m.canHoldRoles(now, r.Host) && !m.isReleasing(now, r.Host)
+			return canHold(r) && !m.isReleasing(now, r.Host)
 		})
 		if len(local) > 0 {
 			return local
 		}
 	}
-	return firstHosts(m.ranking(role, ""), n, func(r *hostRow) bool { return m.canHoldRoles(now, r.Host) })
+	return firstHosts(m.ranking(role, ""), n, canHold)
 }
 
 // canHoldRolesSoon reports whether a host can hold roles or has just registered, so that
--- a/internal/ownership/shell.go
+++ b/internal/ownership/shell.go
@@ -22,6 +22,9 @@
 	// firstLongPollDelay is the pause before the first long poll. Hosts that are started
 	// together register within 0.3 s.
 	firstLongPollDelay = 500 * time.Millisecond
+	// fastFirstLongPollDelay is the same with FastRecovery: callers that wait for the new
+	// holders of the roles are worth the calls. In a large fleet only relays make them.
+	fastFirstLongPollDelay = 100 * time.Millisecond
 )
 
 // Options configure a Shell.
@@ -37,6 +40,9 @@
 	Counters    *telemetry.Counters
 	// Latencies records the takeover waits under the name TakeoverWaitLatency.
 	Latencies *telemetry.Latencies
+	// FastRecovery claims roles as soon as the rows allow it instead of at the next
+	// interval, and suspects the hosts of a lost availability zone together.
+	FastRecovery bool
 }
 
 // TakeoverWaitLatency names the histogram of the takeover waits: the time from
@@ -54,6 +60,8 @@
 	machine     *Machine
 	loggedRoles map[string]loggedRole
 	leaseValid  bool
+	// wake makes Run tick before the next interval.
+	wake chan struct{}
 }
 
 // loggedRole is the state of a role as last logged.
@@ -67,9 +75,16 @@
 
 // New returns a Shell. It does nothing until Run is called.
 func New(opt Options) *Shell {
-	s := &Shell{opt: opt, machine: NewMachine(opt.Clock(), opt.Self, opt.Space), loggedRoles: map[string]loggedRole{}}
+	s := &Shell{opt: opt, machine: NewMachine(opt.Clock(), opt.Self, opt.Space), loggedRoles: map[string]loggedRole{}, wake: make(chan struct{}, 1)}
+	if opt.FastRecovery {
+		s.machine.EnableFastRecovery()
+	}
+	firstLongPoll := firstLongPollDelay
+	if opt.FastRecovery {
+		firstLongPoll = fastFirstLongPollDelay
+	}
 	s.follower = &store.Follower{
-		Watcher: opt.Watcher, Space: opt.Space, LongPollWait: PollWait, FirstLongPollDelay: firstLongPollDelay, MaxConfirmationAge: PollAge, Clock: opt.Clock,
+		Watcher: opt.Watcher, Space: opt.Space, LongPollWait: PollWait, FirstLongPollDelay: firstLongPoll, MaxConfirmationAge: PollAge, Clock: opt.Clock,
 		Log: opt.Log, Counters: opt.Counters, Apply: s.applyRows, Direct: s.FollowsStore, IsRelay: s.IsRelay,
 	}
 	return s
@@ -89,6 +104,7 @@
 		s.tick(ctx)
 		select {
 		case <-t.C:
+		case <-s.wake:
 		case <-ctx.Done():
 		}
 	}
@@ -99,6 +115,9 @@
 	now := s.opt.Clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.machine.rowsLoaded || !s.machine.registered {
+		defer s.wakeForRecovery()
+	}
 	for _, key := range s.machine.ApplyRows(now, confirmed, rows, full) {
 		s.opt.Counters.Add("rows_undecoded", 1)
 		s.opt.Log.Warn().Str("key", key).Msg("row cannot be decoded")
@@ -111,6 +130,7 @@
 	wanted := s.opt.WantedRoles()
 	s.mu.Lock()
 	s.machine.SetWantedRoles(wanted)
+	s.updateLostZones(now)
 	writes := s.machine.Tick(now)
 	s.reportChanges(now)
 	s.mu.Unlock()
@@ -137,6 +157,9 @@
 		Uint64("revision", uint64(rev)).Err(err).Msg("row written")
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err == nil && !s.machine.registered {
+		defer s.wakeForRecovery()
+	}
 	if err == nil && !w.Remove {
 		s.machine.ApplyRows(now, 0, []store.Change{{Row: store.Row{Key: w.Key, Value: w.Value, Revision: rev}}}, false)
 		s.reportChanges(now)
@@ -201,11 +224,7 @@
 func (s *Shell) FirstRanked(role, zone string) (Host, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ranked := s.machine.firstRanked(s.opt.Clock(), role, zone, 1)
-	if len(ranked) == 0 {
-		return Host{}, false
-	}
-	return ranked[0], true
+	return s.machine.firstHome(s.opt.Clock(), role, zone)
 }
 
 // RequestNewEpoch requests a new epoch of a role that this host holds.
@@ -282,7 +301,7 @@
 	case !answered:
 		s.machine.RecordUnresponsive(now, host)
 	default:
-		s.machine.RecordAnswer(host)
+		s.machine.RecordAnswer(now, host)
 		if full {
 			s.machine.RecordExchange(now, host)
 		}
