--- a/internal/customer/spender.go
+++ b/internal/customer/spender.go
@@ -28,10 +28,12 @@
 	// responded that it no longer holds the minter role. The new holder is known
 	// within one or two heartbeats.
 	movedRetryDelay = 50 * time.Millisecond
-	// maxPatientPause bounds the pause between rounds for requests that wait for new
-	// minters. It doubles after each empty round, maxPauseDoublings times.
-	maxPatientPause   = 100 * time.Millisecond
-	maxPauseDoublings = 4
+	// maxEmptyPauses limits the time for which a zone without tokens is not asked, as a
+	// multiple of the maximum wait of a request.
+	maxEmptyPauses = 4
+	// maxPatientPause limits the same time, and that for which a zone that did not answer is
+	// skipped, while requests wait for new minters.
+	maxPatientPause = 100 * time.Millisecond
 	// minRoundPause bounds the rate of grant requests while no zone has tokens.
 	minRoundPause = 5 * time.Millisecond
 )
@@ -39,12 +41,14 @@
 // Action is an action that the caller performs for a Spender.
 type Action interface{ isAction() }
 
-// RequestGrant requests tokens from the minter of a zone. Ticket identifies the grant
-// request and is passed to HandleGrant or HandleFailure.
+// RequestGrant requests tokens from the minter of a zone, which may be spent for the time
+// Validity after the request is sent. Ticket identifies the grant request and is passed to
+// HandleGrant or HandleFailure.
 type RequestGrant struct {
-	Zone   string
-	Amount Amount
-	Ticket uint64
+	Zone     string
+	Amount   Amount
+	Ticket   uint64
+	Validity time.Duration
 }
 
 // Admit admits a request.
@@ -94,6 +98,21 @@
 type zoneState struct {
 	reportedTokens Amount
 	skipUntil      time.Duration // no grant request is sent before
+	// emptyUntil is the time before which the zone is expected to have no tokens,
+	// emptyPause the time for which that was assumed after the last grant request.
+	emptyUntil, emptyPause time.Duration
+}
+
+// recordAnswer records whether the zone granted the full amount. A zone that did not is
+// not asked again for a pause, which doubles each time: many hosts ask for the tokens of a
+// customer that exceeds its rate.
+func (z *zoneState) recordAnswer(now time.Duration, full bool, maxPause time.Duration) {
+	if full {
+		z.emptyUntil, z.emptyPause = 0, 0
+		return
+	}
+	z.emptyPause = min(max(2*z.emptyPause, minRoundPause), maxPause)
+	z.emptyUntil = now + z.emptyPause
 }
 
 // Spender admits one customer's requests on one entry host. It requests as many
@@ -111,7 +130,6 @@
 	lastTicket  uint64
 	roundZones  []string      // zones still to be tried in this round; nil between rounds
 	nextRoundAt time.Duration // start of the next round
-	emptyRounds int           // consecutive rounds without enough tokens
 	maxWait     time.Duration
 	// zoneTimeout is the time after which an unanswered grant request counts as
 	// failed.
@@ -119,6 +137,8 @@
 	// validity is the time after sending a grant request for which this host
 	// honours the grant.
 	validity time.Duration
+	// expireSpent is set if spent grants are not settled, because they expire soon.
+	expireSpent bool
 }
 
 // NewSpender returns a Spender for an entry host in the zone ownZone.
@@ -129,9 +149,12 @@
 }
 
 // SetTimeouts changes the time for which a request may wait for tokens and the time
-// that a zone has to answer a grant request.
+// that a zone has to answer a grant request. Grants are then valid no longer than both
+// together, and a grant that was spent in full is not settled: it expires about as soon,
+// and a settlement costs as much as a grant request.
 func (s *Spender) SetTimeouts(maxWait, zoneTimeout time.Duration) {
 	s.maxWait, s.zoneTimeout = maxWait, zoneTimeout
+	s.validity, s.expireSpent = min(maxWait+zoneTimeout, GrantValidity), true
 }
 
 // SetZones changes the zones that have minters and the customer's limit.
@@ -198,11 +221,12 @@
 	s.outstanding = nil
 	if z, ok := s.zones[request.zone]; ok {
 		z.reportedTokens = available
+		z.recordAnswer(now, amount >= request.amount, s.maxEmptyPause())
 	}
 	if amount >= request.amount {
 		// The zone granted the full amount. Requests that arrived in the meantime
 		// start a new round at once. A pause is needed only when no zone has tokens.
-		s.roundZones, s.emptyRounds = nil, 0
+		s.roundZones = nil
 	}
 	if amount > 0 && now < request.sent+s.validity {
 		s.grants = append(s.grants, heldGrant{zone: request.zone, id: grant, amount: amount, remaining: amount, expiresAt: request.sent + s.validity})
@@ -252,11 +276,22 @@
 	return next, found
 }
 
+// maxEmptyPause returns the longest time for which a zone without tokens is not asked.
+func (s *Spender) maxEmptyPause() time.Duration {
+	if s.isPatient() {
+		return maxPatientPause
+	}
+	return maxEmptyPauses * s.maxWait
+}
+
+// isPatient reports whether the first queued request waits for a minter that starts.
+func (s *Spender) isPatient() bool { return len(s.queue) > 0 && s.queue[0].patient }
+
 // unresponsiveDelay returns the time for which a zone that did not answer is skipped. A
 // minter that has just started may answer the next request, so requests that wait for it
 // try again soon.
 func (s *Spender) unresponsiveDelay() time.Duration {
-	if len(s.queue) > 0 && s.queue[0].patient {
+	if s.isPatient() {
 		return maxPatientPause
 	}
 	return unresponsiveRetryDelay
@@ -285,7 +320,7 @@
 	actions = s.requestTokens(now, actions)
 	if len(s.queue) == 0 && s.outstanding == nil {
 		actions = s.returnGrants(actions)
-		s.nextRoundAt, s.roundZones, s.emptyRounds = 0, nil, 0
+		s.nextRoundAt, s.roundZones = 0, nil
 	}
 	return actions
 }
@@ -322,7 +357,7 @@
 		need -= take
 	}
 	s.grants = slices.DeleteFunc(s.grants, func(h heldGrant) bool {
-		if h.remaining == 0 {
+		if h.remaining == 0 && !s.expireSpent {
 			actions = append(actions, Settle{Zone: h.zone, Grant: h.id})
 		}
 		return h.remaining == 0
@@ -378,11 +413,10 @@
 		s.roundZones = s.roundZones[1:]
 		s.lastTicket++
 		s.outstanding = &grantRequest{zone: zone, ticket: s.lastTicket, amount: need, sent: now}
-		return append(actions, RequestGrant{Zone: zone, Amount: need, Ticket: s.lastTicket})
+		return append(actions, RequestGrant{Zone: zone, Amount: need, Ticket: s.lastTicket, Validity: s.validity})
 	}
 	s.roundZones = nil
-	s.nextRoundAt = now + s.roundPause()
-	s.emptyRounds++
+	s.nextRoundAt = max(now+s.roundPause(), s.firstRefill())
 	return s.returnGrants(actions)
 }
 
@@ -393,28 +427,37 @@
 	if s.rate <= 0 {
 		return s.maxWait
 	}
-	pause := max(minRoundPause, min(s.maxWait, time.Duration(missing/s.rate*float64(time.Second))))
-	if s.queue[0].patient {
-		// All hosts have waiting requests while minters start, so their rounds back off.
-		pause = min(pause<<min(s.emptyRounds, maxPauseDoublings), max(pause, maxPatientPause))
+	return max(minRoundPause, min(s.maxWait, time.Duration(missing/s.rate*float64(time.Second))))
+}
+
+// firstRefill returns the first time at which a zone may have tokens again.
+func (s *Spender) firstRefill() time.Duration {
+	first := time.Duration(0)
+	for _, z := range s.zones {
+		if at := max(z.emptyUntil, z.skipUntil); first == 0 || at < first {
+			first = at
+		}
 	}
-	return pause
+	return first
 }
 
+// canAsk reports whether a grant request to the zone may be answered with tokens.
+func (z *zoneState) canAsk(now time.Duration) bool { return z.skipUntil <= now && z.emptyUntil <= now }
+
 // planRound returns the zones of a round in order: the zone of this host first,
 // then the others in descending order of the tokens that they last reported.
 // Zones that are to be skipped are left out.
 func (s *Spender) planRound(now time.Duration) []string {
 	order := make([]string, 0, len(s.sortedZones))
 	for _, z := range s.sortedZones {
-		if z != s.ownZone && s.zones[z].skipUntil <= now {
+		if z != s.ownZone && s.zones[z].canAsk(now) {
 			order = append(order, z)
 		}
 	}
 	slices.SortStableFunc(order, func(a, b string) int {
 		return int(int64(s.zones[b].reportedTokens) - int64(s.zones[a].reportedTokens))
 	})
-	if ownState, ok := s.zones[s.ownZone]; ok && ownState.skipUntil <= now {
+	if ownState, ok := s.zones[s.ownZone]; ok && ownState.canAsk(now) {
 		order = append([]string{s.ownZone}, order...)
 	}
 	return order
