--- a/internal/customer/spender.go
+++ b/internal/customer/spender.go
@@ -31,6 +31,9 @@
 	// maxEmptyPauses limits the time for which a zone without tokens is not asked, as a
 	// multiple of the maximum wait of a request.
 	maxEmptyPauses = 4
+	// maxPatientPause limits the same time, and that for which a zone that did not answer is
+	// skipped, while requests wait for new minters.
+	maxPatientPause = 100 * time.Millisecond
 	// minRoundPause bounds the rate of grant requests while no zone has tokens.
 	minRoundPause = 5 * time.Millisecond
 )
@@ -74,6 +77,7 @@
 type queuedRequest struct {
 	id       RequestID
 	deadline time.Duration
+	patient  bool // the request waits longer than the Spender's maximum wait
 }
 
 type heldGrant struct {
@@ -175,10 +179,16 @@
 // AddRequest adds a request. It refuses the request at once if the queue is too long
 // for the request to get a token within its maximum wait.
 func (s *Spender) AddRequest(now time.Duration, id RequestID) []Action {
-	if s.queueFull() {
+	return s.AddPatientRequest(now, id, s.maxWait)
+}
+
+// AddPatientRequest is like AddRequest with a maximum wait of the request's own, for the
+// time in which minters start anew.
+func (s *Spender) AddPatientRequest(now time.Duration, id RequestID, maxWait time.Duration) []Action {
+	if s.queueFull(maxWait) {
 		return append(s.advance(now), Refuse{ID: id, SkippedZones: s.skippedZones(now)})
 	}
-	s.queue = append(s.queue, queuedRequest{id: id, deadline: now + s.maxWait})
+	s.queue = append(s.queue, queuedRequest{id: id, deadline: now + maxWait, patient: maxWait > s.maxWait})
 	return s.advance(now)
 }
 
@@ -186,12 +196,12 @@
 // fleet mints within the maximum wait. The slack allows for tokens that are still
 // in the buckets. The queue is never full before a round has ended without enough
 // tokens.
-func (s *Spender) queueFull() bool {
+func (s *Spender) queueFull(maxWait time.Duration) bool {
 	if s.nextRoundAt == 0 {
 		return false
 	}
 	const slack = 4
-	return float64(len(s.queue)) >= s.rate*s.maxWait.Seconds()+slack
+	return float64(len(s.queue)) >= s.rate*maxWait.Seconds()+slack
 }
 
 // CancelRequest removes a request whose caller no longer waits.
@@ -211,7 +221,7 @@
 	s.outstanding = nil
 	if z, ok := s.zones[request.zone]; ok {
 		z.reportedTokens = available
-		z.recordAnswer(now, amount >= request.amount, maxEmptyPauses*s.maxWait)
+		z.recordAnswer(now, amount >= request.amount, s.maxEmptyPause())
 	}
 	if amount >= request.amount {
 		// The zone granted the full amount. Requests that arrived in the meantime
@@ -234,7 +244,7 @@
 	if moved {
 		s.cancelOutstanding(now + movedRetryDelay)
 	} else {
-		s.cancelOutstanding(now + unresponsiveRetryDelay)
+		s.cancelOutstanding(now + s.unresponsiveDelay())
 	}
 	return s.advance(now)
 }
@@ -256,7 +266,9 @@
 		earliest(s.outstanding.sent + s.zoneTimeout)
 	}
 	if len(s.queue) > 0 {
-		earliest(s.queue[0].deadline)
+		for _, q := range s.queue {
+			earliest(q.deadline)
+		}
 		if s.outstanding == nil {
 			earliest(s.nextRoundAt)
 		}
@@ -264,6 +276,27 @@
 	return next, found
 }
 
+// maxEmptyPause returns the longest time for which a zone without tokens is not asked.
+func (s *Spender) maxEmptyPause() time.Duration {
+	if s.isPatient() {
+		return maxPatientPause
+	}
+	return maxEmptyPauses * s.maxWait
+}
+
+// isPatient reports whether the first queued request waits for a minter that starts.
+func (s *Spender) isPatient() bool { return len(s.queue) > 0 && s.queue[0].patient }
+
+// unresponsiveDelay returns the time for which a zone that did not answer is skipped. A
+// minter that has just started may answer the next request, so requests that wait for it
+// try again soon.
+func (s *Spender) unresponsiveDelay() time.Duration {
+	if s.isPatient() {
+		return maxPatientPause
+	}
+	return unresponsiveRetryDelay
+}
+
 // cancelOutstanding ends the outstanding grant request and skips its zone until
 // the time.
 func (s *Spender) cancelOutstanding(until time.Duration) {
@@ -280,7 +313,7 @@
 	var actions []Action
 	s.dropExpiredGrants(now)
 	if s.outstanding != nil && now >= s.outstanding.sent+s.zoneTimeout {
-		s.cancelOutstanding(now + unresponsiveRetryDelay)
+		s.cancelOutstanding(now + s.unresponsiveDelay())
 	}
 	actions = s.admitQueued(actions)
 	actions = s.refuseOverdue(now, actions)
@@ -343,10 +376,13 @@
 
 // refuseOverdue refuses the queued requests whose maximum wait has passed.
 func (s *Spender) refuseOverdue(now time.Duration, actions []Action) []Action {
-	for len(s.queue) > 0 && now >= s.queue[0].deadline {
-		actions = append(actions, Refuse{ID: s.queue[0].id, SkippedZones: s.skippedZones(now)})
-		s.queue = s.queue[1:]
-	}
+	s.queue = slices.DeleteFunc(s.queue, func(q queuedRequest) bool {
+		if now < q.deadline {
+			return false
+		}
+		actions = append(actions, Refuse{ID: q.id, SkippedZones: s.skippedZones(now)})
+		return true
+	})
 	return actions
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -178,6 +178,7 @@
 			UsageWindow: config.Duration(standin.UsageWindow), UsageLate: config.Duration(usageLate), UsageLease: config.Duration(usageLease),
 			RateWindow: config.Duration(5 * time.Second), RateOverage: 0.1, RateSlack: 20,
 			StopGrace: config.Duration(stopGrace), MemoryMB: hostMemoryMB, Descriptors: hostDescriptors, Cores: 1, ProcessorShare: 1, LinkMbps: 1000, LogLevel: "info",
+			Requirements: r.Plan.Requirements,
 		},
 	}, nil
 }
