Order servers for reads by their known load

A read went to a replica of its own zone whatever its queue, because an entry host knew only the latency that it had seen itself. With server supervision on, the order uses the known load of each server with its age, moves a share of the reads in proportion to the excess, and limits the wait for a slot to what the other replicas offer.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -57,6 +57,8 @@
 	// Loads holds the known loads of backend servers. It is empty unless home hosts
 	// report them.
 	Loads *serverload.Table
+	// RouteByLoad orders the servers for reads by Loads.
+	RouteByLoad bool
 	// MaxClients limits the number of open sessions.
 	MaxClients int
 	// AbortAfter is the time after the start of a planned stop at which open
@@ -87,6 +89,7 @@
 	mu          sync.Mutex
 	sessions    map[*session]struct{}
 	balancer    *routing.Balancer
+	loadOrder   *routing.LoadOrder
 	retryBudget *routing.RetryBudget
 	samples     *freshness.Samples
 
@@ -97,9 +100,13 @@
 
 // New returns a Frontend that accepts sessions once Run is called.
 func New(opt Options) *Frontend {
+	if opt.Loads == nil {
+		opt.Loads = serverload.NewTable()
+	}
+	balancer := routing.NewBalancer(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)))
 	return &Frontend{
 		opt: opt, sessions: map[*session]struct{}{}, samples: freshness.New(),
-		balancer:    routing.NewBalancer(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0))),
+		balancer: balancer, loadOrder: routing.NewLoadOrder(balancer, opt.Loads),
 		retryBudget: routing.NewRetryBudget(),
 	}
 }
--- a/internal/frontend/operation.go
+++ b/internal/frontend/operation.go
@@ -50,6 +50,9 @@
 	// is the log position that the attempt required.
 	server, host string
 	floor        statement.Position
+	// waitLimit limits the wait for a slot at the next server; 0 for no other limit than
+	// slotWaitShare.
+	waitLimit time.Duration
 }
 
 func (s *session) newOperation(st statement.Statement, route config.Route, arrived time.Duration) *operation {
@@ -257,11 +260,12 @@
 		}
 		// A replica that is too stale has run nothing, and the primary is tried at last:
 		// such a retry does not multiply the load of a failing server.
-		if e.Reason != verdict.NoFreshReplica && !o.s.f.takeRetry() {
+		if e.Reason != verdict.NoFreshReplica && !o.isSpill(e) && !o.s.f.takeRetry() {
 			return nil, last
 		}
 		o.s.f.opt.Counters.CountRetry(e.Reason)
 	}
+	o.waitLimit = 0
 	return o.runAtPrimary(last)
 }
 
@@ -276,10 +280,12 @@
 	began := o.now()
 	limit := min(o.deadline, began+max(minReplicaTimeout, time.Duration(replicaAttemptShare*float64(o.latencyTarget()))))
 	o.server = c.Server
+	o.recordSent(began, c)
 	resp, err := o.callHost(c.Home, req, limit)
 	f := o.s.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.loadOrder.RecordDone(began, c.Server)
 	if err == nil {
 		f.balancer.RecordSuccess(o.now(), c, o.now()-began)
 	} else {
@@ -299,8 +305,10 @@
 	f := o.s.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, c := range f.balancer.ReadCandidates(o.now(), v, false) {
-		if !o.triedServers[c.Server] && (c.Primary || !f.balancer.Lags(o.now(), c)) {
+	candidates := o.readCandidates(v)
+	for i, c := range candidates {
+		if o.isUntried(c) {
+			o.limitWait(candidates[i+1:])
 			return c, true
 		}
 	}
@@ -360,7 +368,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the deadline of the statement has passed")
 	}
 	req.TimeoutUs = left.Microseconds()
-	req.WaitUs = min(left, time.Duration(slotWaitShare*float64(o.latencyTarget()))).Microseconds()
+	req.WaitUs = min(left, o.maxSlotWait()).Microseconds()
 	ctx, cancel := context.WithTimeout(context.Background(), left+callTimeoutMargin)
 	defer cancel()
 	resp, err := o.s.f.opt.Fleet.Execute(ctx, host, req)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -192,7 +192,7 @@
 	h.frontend = frontend.New(frontend.Options{
 		Listener: h.listeners[clientListener], NewClient: a.NewClient, Snapshot: h.catalog.Snapshot, KeysFresh: h.catalog.KeysFresh,
 		Fleet: h.peerCalls, Limiter: h.limiter, Clock: h.clock, Log: h.log, Counters: h.counters,
-		Latencies: latencies, Loads: h.peerCalls.loads,
+		Latencies: latencies, Loads: h.peerCalls.loads, RouteByLoad: a.Features.ServerSupervision,
 		MaxClients: max(h.settings.Descriptors-reservedDescriptors, 1), AbortAfter: h.settings.StopGrace.Std()/2 + stopMargin/4,
 	})
 	h.peerCalls.frontend = h.frontend
--- a/internal/routing/balancer.go
+++ b/internal/routing/balancer.go
@@ -254,12 +254,11 @@
 			c.Term = v.Term
 		}
 		r := ranked{Candidate: c, tie: b.rand.Uint64()}
-		h := b.health[newHealthKey(c)]
 		r.rank = [4]int{
 			boolRank(isPrimary),
-			boolRank(v.Unreachable[home.Name] || h != nil && now < h.backoffUntil),
+			boolRank(b.avoids(now, v, c)),
 			boolRank(s.Zone != v.OwnZone),
-			latencyClass(now, h),
+			latencyClass(now, b.health[newHealthKey(c)]),
 		}
 		list = append(list, r)
 	}
@@ -273,6 +272,13 @@
 	return out
 }
 
+// avoids reports whether the candidate is tried after the others, because its home host
+// does not answer or because an attempt failed recently.
+func (b *Balancer) avoids(now time.Duration, v GroupView, c Candidate) bool {
+	h := b.health[newHealthKey(c)]
+	return v.Unreachable[c.Home.Name] || h != nil && now < h.backoffUntil
+}
+
 func boolRank(b bool) int {
 	if b {
 		return 1
