--- /dev/null
+++ b/internal/supervise/supervise.go
@@ -0,0 +1,244 @@
+package supervise
+
+import "time"
+
+// State is what a Detector decides about its server.
+type State uint8
+
+const (
+	// Serving servers get all requests.
+	Serving State = iota
+	// Ejected servers get no reads.
+	Ejected
+	// Probing servers get a few reads, whose outcome decides what follows.
+	Probing
+)
+
+// String returns the name used in logs.
+func (s State) String() string { return [...]string{"serving", "ejected", "probing"}[s] }
+
+const (
+	// bucketLength and buckets define the sliding window over which failures count.
+	bucketLength = 250 * time.Millisecond
+	buckets      = 8
+	// maxFailureShare is the share of failures from which on a server is ejected. With
+	// one repetition at another server, a caller then notices 2 of 100 failures.
+	maxFailureShare = 0.15
+	// minFailures is the number of failures in the window below which chance may explain
+	// the share.
+	minFailures = 5
+	// baseEjection and maxEjection bound an ejection. Each further one lasts twice as
+	// long, until the server has served without an ejection for calmPeriod.
+	baseEjection = time.Second
+	maxEjection  = 8 * time.Second
+	calmPeriod   = 10 * time.Second
+	// maxEjectedShare is the share of a group's servers that may be ejected at a time.
+	maxEjectedShare = 0.5
+	// probeSuccesses is the number of consecutive successful probes that end an ejection,
+	// maxProbes the number of probes under way at a time.
+	probeSuccesses = 5
+	maxProbes      = 1
+	// probeTimeout is the time after which a probe without an outcome is given up, for
+	// example because its transaction goes on.
+	probeTimeout = 500 * time.Millisecond
+)
+
+// Group describes the servers of the group for the cap on ejections.
+type Group struct {
+	// Servers is the number of servers of the group, OthersEjected the number of the
+	// others that are known to be ejected.
+	Servers, OthersEjected int
+}
+
+func (g Group) allowsEjection() bool {
+	return float64(g.OthersEjected+1) <= maxEjectedShare*float64(g.Servers)
+}
+
+// Change is a change of the state.
+type Change struct {
+	State State
+	// Failures and Requests are those in the window, Until the end of an ejection.
+	Failures, Requests int
+	Until              time.Duration
+	// Capped is set when the server would have been ejected but for the cap.
+	Capped bool
+}
+
+type bucket struct {
+	index              int64
+	requests, failures int
+	customers, failed  customerSet
+}
+
+// customerSet tells one customer from several.
+type customerSet struct {
+	first   string
+	several bool
+}
+
+func (s *customerSet) add(customer string) {
+	switch {
+	case s.first == "":
+		s.first = customer
+	case s.first != customer:
+		s.several = true
+	}
+}
+
+func (s *customerSet) merge(other customerSet) {
+	if other.first != "" {
+		s.add(other.first)
+	}
+	s.several = s.several || other.several
+}
+
+// Detector decides about one backend server by the outcomes of its requests. It is not
+// safe for concurrent use.
+type Detector struct {
+	state State
+	ring  [buckets]bucket
+	// lastSuccess is the time of the last answer.
+	lastSuccess time.Duration
+	// until is the end of the ejection, level the number of ejections that count for the
+	// length of the next one, and calmSince the time since which none has been.
+	until     time.Duration
+	level     int
+	calmSince time.Duration
+	successes int
+	probes    []time.Duration
+	cappedAt  time.Duration
+}
+
+// State returns the state at the time now.
+func (d *Detector) State(now time.Duration) State {
+	if d.state == Ejected && now >= d.until {
+		return Probing
+	}
+	return d.state
+}
+
+// Inherit makes the detector of a new home host start with probes, because the former
+// home host had ejected the server.
+func (d *Detector) Inherit(now time.Duration) { d.state, d.level, d.calmSince = Probing, 1, now }
+
+// AdmitRead reports whether a read may be sent to the server. While the server is
+// probed, a read that is admitted is a probe.
+func (d *Detector) AdmitRead(now time.Duration) bool {
+	switch d.State(now) {
+	case Ejected:
+		return false
+	case Probing:
+		for len(d.probes) > 0 && now-d.probes[0] >= probeTimeout {
+			d.probes = d.probes[1:]
+		}
+		if len(d.probes) >= maxProbes {
+			return false
+		}
+		d.probes = append(d.probes, now)
+		if d.state == Ejected {
+			d.state, d.successes = Probing, 0
+		}
+	}
+	return true
+}
+
+// RecordSuccess records an answer of the server, whether or not the request succeeded
+// for its caller. It returns the change of the state, if any.
+func (d *Detector) RecordSuccess(now time.Duration, customer string) (Change, bool) {
+	d.bucketAt(now, customer).requests++
+	d.lastSuccess = now
+	if d.state != Probing {
+		return Change{}, false
+	}
+	d.endProbe()
+	if d.successes++; d.successes < probeSuccesses {
+		return Change{}, false
+	}
+	d.state, d.calmSince = Serving, now
+	d.ring = [buckets]bucket{}
+	return Change{State: Serving}, true
+}
+
+// RecordOverdue records that a statement, sent at sent, got no answer in time. It is a
+// failure only if the server has answered no other statement since.
+func (d *Detector) RecordOverdue(now, sent time.Duration, customer string, g Group) (Change, bool) {
+	if d.lastSuccess > sent {
+		return Change{}, false
+	}
+	return d.RecordFailure(now, customer, g)
+}
+
+// RecordFailure records a failure of the server and returns the change of the state, if
+// any.
+func (d *Detector) RecordFailure(now time.Duration, customer string, g Group) (Change, bool) {
+	b := d.bucketAt(now, customer)
+	b.requests++
+	b.failures++
+	b.failed.add(customer)
+	if d.state == Probing {
+		d.endProbe()
+		return d.eject(now), true
+	}
+	if d.state != Serving {
+		return Change{}, false
+	}
+	requests, failures, oneCustomer := d.window(now)
+	if failures < minFailures || float64(failures) < maxFailureShare*float64(requests) || oneCustomer {
+		return Change{}, false
+	}
+	if !g.allowsEjection() {
+		if d.cappedAt > 0 && now-d.cappedAt < baseEjection {
+			return Change{}, false
+		}
+		d.cappedAt = now
+		return Change{State: Serving, Capped: true, Failures: failures, Requests: requests}, true
+	}
+	return d.eject(now), true
+}
+
+func (d *Detector) eject(now time.Duration) Change {
+	requests, failures, _ := d.window(now)
+	if d.state == Serving {
+		d.level = max(d.level-int((now-d.calmSince)/calmPeriod), 0)
+	}
+	length := maxEjection
+	if d.level < 8 {
+		length = min(maxEjection, baseEjection<<d.level)
+	}
+	d.state, d.until, d.successes = Ejected, now+length, 0
+	d.level++
+	return Change{State: Ejected, Failures: failures, Requests: requests, Until: d.until}
+}
+
+func (d *Detector) endProbe() {
+	if len(d.probes) > 0 {
+		d.probes = d.probes[1:]
+	}
+}
+
+func (d *Detector) bucketAt(now time.Duration, customer string) *bucket {
+	index := int64(now / bucketLength)
+	b := &d.ring[index%buckets]
+	if b.index != index {
+		*b = bucket{index: index}
+	}
+	b.customers.add(customer)
+	return b
+}
+
+// window returns the requests and failures in the window. oneCustomer is set if only one
+// of several customers had failures, so that its statements are the cause.
+func (d *Detector) window(now time.Duration) (requests, failures int, oneCustomer bool) {
+	index := int64(now / bucketLength)
+	var all, failed customerSet
+	for _, b := range d.ring {
+		if index-b.index >= buckets {
+			continue
+		}
+		requests += b.requests
+		failures += b.failures
+		all.merge(b.customers)
+		failed.merge(b.failed)
+	}
+	return requests, failures, all.several && !failed.several
+}
