Eject servers that fail from reads, as their home host sees it

Each entry host found a failing server anew by its own attempts. The home host sees all requests: a server with a share of failures of 15 % in 2 s gets no reads for 1 s, twice as long each further time, and comes back through probes, one at a time. Half of a group's servers at most are ejected; the primary keeps its requests.

--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -58,11 +58,17 @@
 		return err
 	}
 	c.pool = p
+	if err := p.admitSupervised(c.req.GetPrimary()); err != nil {
+		return err
+	}
 	if !p.admitCold() {
 		return verdict.New(verdict.NotRun, verdict.QueueFull, "backend server %s is cold and limited to %.0f requests per second", server, p.coldRate())
 	}
 	id, conn, err := c.acquire(p)
 	if err != nil {
+		if verdict.From(err).Reason == verdict.BackendUnreachable {
+			p.recordOutcome(c.req.GetCustomer(), c.began, err)
+		}
 		return err
 	}
 	tx := &transaction{pool: p, requestID: id, conn: conn, primary: c.req.GetPrimary()}
@@ -112,7 +118,9 @@
 	if !tx.pool.mayBeUnresponsive(tx.conn) {
 		return nil
 	}
-	if err := tx.conn.Reset(c.socketDeadline(c.x.opt.Clock() + probeTimeout)); err != nil {
+	sent := c.x.opt.Clock()
+	if err := tx.conn.Reset(c.socketDeadline(sent + probeTimeout)); err != nil {
+		tx.pool.recordOutcome(c.req.GetCustomer(), sent, verdict.New(verdict.NotRun, verdict.AnswerOverdue, "reset: %v", err))
 		c.x.opt.Log.Info().Str("id", c.req.GetId()).Str("server", tx.pool.server.Name).Err(err).Msg("silent backend connection closed")
 		return verdict.New(verdict.NotRun, verdict.ConnectionLost, "a connection to backend server %s does not answer", tx.pool.server.Name)
 	}
@@ -127,6 +135,7 @@
 	sent := c.x.opt.Clock()
 	results, err := tx.conn.Run(c.socketDeadline(c.deadline), commands...)
 	now := c.x.opt.Clock()
+	tx.pool.recordOutcome(c.req.GetCustomer(), sent, outcomeOf(results, err))
 	if err != nil {
 		if verdict.From(err).Reason == verdict.AnswerOverdue {
 			tx.pool.recordOverdueAnswer()
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -72,6 +72,8 @@
 	IsHomeHost func(server string) bool
 	// ReportLoads adds the load of the server to the response of a statement.
 	ReportLoads bool
+	// Supervision ejects servers that fail.
+	Supervision Supervision
 	Clock       clock.Clock
 	Log         *log.Logger
 	Counters    *telemetry.Counters
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -9,6 +9,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
 	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/supervise"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
 
@@ -40,6 +41,8 @@
 	// connection that has not answered since then is probed before it is used.
 	lastOverdue time.Duration
 	retired     bool
+	// detector decides whether the server gets reads.
+	detector *supervise.Detector
 	// coldTokens is the content of the token bucket that limits the requests to a cold
 	// server, one that has just started; coldRefilledAt is the time of the last refill.
 	coldTokens     float64
@@ -71,6 +74,7 @@
 	return &serverPool{
 		x: x, server: s, dispatcher: backend.NewDispatcher(dispatcherSettings(s)),
 		conns: map[backend.ConnID]*conn{}, waiters: map[backend.RequestID]chan backend.Action{},
+		detector: x.newDetector(s),
 	}
 }
 
@@ -273,5 +277,6 @@
 	now := p.x.opt.Clock()
 	l := p.dispatcher.Load(now)
 	l.Server, l.MeasuredAt = p.server.Name, now
+	p.addSupervision(now, &l)
 	return l
 }
--- /dev/null
+++ b/internal/executor/supervision.go
@@ -0,0 +1,158 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
+	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
+	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/supervise"
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
+)
+
+// Supervision switches the supervision of servers on.
+type Supervision struct {
+	Enabled bool
+	// Loads holds the known loads of servers, as their home hosts report them.
+	Loads *serverload.Table
+}
+
+// newDetector returns the detector of a server of which this host becomes the home host.
+// It starts with probes if the former home host has ejected the server.
+func (x *Executor) newDetector(s catalog.Server) *supervise.Detector {
+	d := &supervise.Detector{}
+	if !x.opt.Supervision.Enabled {
+		return d
+	}
+	now := x.opt.Clock()
+	if l, _, ok := x.opt.Supervision.Loads.Get(now, s.Name); ok && l.Ejected {
+		d.Inherit(now)
+	}
+	return d
+}
+
+// groupOf describes the group of the server for the cap on ejections.
+func (x *Executor) groupOf(group, server string) supervise.Group {
+	now := x.opt.Clock()
+	var g supervise.Group
+	for _, other := range x.opt.Snapshot().Group(group) {
+		g.Servers++
+		if l, _, ok := x.opt.Supervision.Loads.Get(now, other.Name); ok && l.Ejected && other.Name != server {
+			g.OthersEjected++
+		}
+	}
+	return g
+}
+
+// admitSupervised refuses a read at a server that is ejected or has as many probes under
+// way as it may get. Requests of the primary are always admitted.
+func (p *serverPool) admitSupervised(primary bool) error {
+	if !p.x.opt.Supervision.Enabled || primary {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.detector.AdmitRead(p.x.opt.Clock()) {
+		return nil
+	}
+	p.x.opt.Counters.Add("reads_refused_ejected", 1)
+	return verdict.New(verdict.NotRun, verdict.QueueFull, "backend server %s is ejected", p.server.Name)
+}
+
+// recordOutcome tells the detector how the server answered a statement that was sent at
+// sent. err is nil for a success.
+func (p *serverPool) recordOutcome(customer string, sent time.Duration, err error) {
+	if !p.x.opt.Supervision.Enabled {
+		return
+	}
+	var group supervise.Group
+	if err != nil {
+		group = p.x.groupOf(p.server.Group, p.server.Name)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.x.opt.Clock()
+	var change supervise.Change
+	var changed bool
+	switch p.classify(err) {
+	case answered:
+		change, changed = p.detector.RecordSuccess(now, customer)
+	case overdue:
+		change, changed = p.detector.RecordOverdue(now, sent, customer, group)
+	case failed:
+		change, changed = p.detector.RecordFailure(now, customer, group)
+	}
+	if changed {
+		p.reportChange(now, change)
+	}
+}
+
+func (p *serverPool) reportChange(now time.Duration, change supervise.Change) {
+	counter := "servers_restored"
+	switch {
+	case change.Capped:
+		counter = "ejections_capped"
+	case change.State == supervise.Ejected:
+		counter = "servers_ejected"
+	}
+	p.x.opt.Counters.Add(counter, 1)
+	p.x.opt.Log.Info().Str("server", p.server.Name).Str("group", p.server.Group).Str("state", change.State.String()).
+		Bool("capped", change.Capped).Int("failures", change.Failures).Int("requests", change.Requests).
+		Dur("for", max(change.Until-now, 0)).Msg("server supervision")
+}
+
+// outcomeClass is what an outcome says about the server.
+type outcomeClass int
+
+const (
+	neutral outcomeClass = iota
+	answered
+	overdue
+	failed
+)
+
+// classify returns what an outcome says about the server. BUSY is a failure only while
+// this host uses no more than the server's slots. The caller must hold mu.
+func (p *serverPool) classify(err error) outcomeClass {
+	if err == nil {
+		return answered
+	}
+	switch verdict.From(err).Reason {
+	case verdict.StatementFailed, verdict.BackendUnreachable, verdict.ConnectionLost, verdict.ProtocolViolation:
+		return failed
+	case verdict.AnswerOverdue:
+		return overdue
+	case verdict.ServerBusy:
+		if l := p.dispatcher.Load(p.x.opt.Clock()); l.Running < l.Slots {
+			return failed
+		}
+		return neutral
+	case verdict.NoFreshReplica, verdict.ReadOnly, verdict.UnknownStatement:
+		return answered
+	}
+	return neutral
+}
+
+// outcomeOf returns the error that an exchange says about the server: that of the
+// connection, or of the last result.
+func outcomeOf(results []statement.Result, err error) error {
+	if err != nil || len(results) == 0 {
+		return err
+	}
+	if e := results[len(results)-1].Err; e != nil {
+		return e
+	}
+	return nil
+}
+
+// addSupervision adds what supervision decides about the server to its load: no reads
+// while it is ejected, and as many at a time as there may be probes after that. The
+// caller must hold mu.
+func (p *serverPool) addSupervision(now time.Duration, l *serverload.Load) {
+	switch p.detector.State(now) {
+	case supervise.Ejected:
+		l.Ejected = true
+	case supervise.Probing:
+		l.Pace = supervise.MaxProbes
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -169,14 +169,16 @@
 		Host: self.Name, Roles: h.directory, Directory: h.directory, Promoter: a.Promoter, Dialer: a.Dialer,
 		Clock: h.clock, Log: h.log, Counters: h.counters, Latencies: latencies,
 	})
+	loads := serverload.NewTable()
 	h.executor = executor.New(executor.Options{
 		Dialer: a.Dialer, Authority: h.failover, Snapshot: h.catalog.Snapshot, IsHomeHost: h.directory.isHomeHost,
-		ReportLoads: a.Features.ContentionControl || a.Features.ServerSupervision, Clock: h.clock, Log: h.log, Counters: h.counters,
+		ReportLoads: a.Features.ContentionControl || a.Features.ServerSupervision,
+		Supervision: executor.Supervision{Enabled: a.Features.ServerSupervision, Loads: loads}, Clock: h.clock, Log: h.log, Counters: h.counters,
 	}, rand.Uint64()>>1)
 	h.peerCalls = &peerCalls{
 		directory: h.directory, pool: peer.NewPool(nil, nil), executor: h.executor, failover: h.failover, counters: h.counters,
 		workers: pond.NewPool(heartbeatWorkers, pond.WithQueueSize(heartbeatWorkers), pond.WithNonBlocking(true)),
-		loads:   serverload.NewTable(), suspects: map[string]bool{}, followers: map[string]*store.Follower{}, groupStates: map[string]receivedState{},
+		loads:   loads, suspects: map[string]bool{}, followers: map[string]*store.Follower{}, groupStates: map[string]receivedState{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	followers := append(h.catalog.Followers(), h.ownership.Follower())
@@ -192,7 +194,7 @@
 	h.frontend = frontend.New(frontend.Options{
 		Listener: h.listeners[clientListener], NewClient: a.NewClient, Snapshot: h.catalog.Snapshot, KeysFresh: h.catalog.KeysFresh,
 		Fleet: h.peerCalls, Limiter: h.limiter, Clock: h.clock, Log: h.log, Counters: h.counters,
-		Latencies: latencies, Loads: h.peerCalls.loads, RouteByLoad: a.Features.ServerSupervision,
+		Latencies: latencies, Loads: loads, RouteByLoad: a.Features.ServerSupervision,
 		MaxClients: max(h.settings.Descriptors-reservedDescriptors, 1), AbortAfter: h.settings.StopGrace.Std()/2 + stopMargin/4,
 	})
 	h.peerCalls.frontend = h.frontend
--- a/internal/routing/byload.go
+++ b/internal/routing/byload.go
@@ -74,6 +74,8 @@
 	// response the wait and the service together.
 	room           float64
 	wait, response time.Duration
+	// pacedShare is the share of the reads that the pace of the server keeps out.
+	pacedShare float64
 }
 
 func (o *LoadOrder) estimate(now time.Duration, server string, priority int) estimate {
@@ -91,10 +93,11 @@
 	if l.Pace > 0 {
 		slots = min(slots, l.Pace)
 	}
+	paced := 1 - float64(slots)/float64(l.Slots)
 	// The knowledge fades to that of a server which is half in use.
 	trust := 1 - float64(max(age, 0))/float64(serverload.MaxAge)
 	occupied := l.Running + l.Waiting + sent
-	e := estimate{known: true, ejected: l.Ejected}
+	e := estimate{known: true, ejected: l.Ejected, pacedShare: trust * paced}
 	e.room = trust*float64(max(slots-occupied, 0)) + (1-trust)*float64(slots)/2
 	wait := l.ExpectedWait(priority)
 	if occupied > slots {
@@ -106,12 +109,12 @@
 }
 
 // spillShare returns the share of the reads that should avoid the server: the part by
-// which its answers would exceed the budget.
+// which its answers would exceed the budget, or the part beyond its pace.
 func (e estimate) spillShare(budget time.Duration) float64 {
 	if !e.known || e.response <= budget {
-		return 0
+		return e.pacedShare
 	}
-	return 1 - float64(budget)/float64(e.response)
+	return max(e.pacedShare, 1-float64(budget)/float64(e.response))
 }
 
 // loadedCandidate is a candidate with its estimate.
@@ -189,7 +192,7 @@
 		return false
 	}
 	best += start
-	if best == 0 || local && replicas[best].response >= first.response {
+	if best == 0 || local && replicas[best].response >= first.response && first.pacedShare == 0 {
 		return false
 	}
 	c := replicas[best]
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -34,15 +34,16 @@
 	calmPeriod   = 10 * time.Second
 	// maxEjectedShare is the share of a group's servers that may be ejected at a time.
 	maxEjectedShare = 0.5
-	// probeSuccesses is the number of consecutive successful probes that end an ejection,
-	// maxProbes the number of probes under way at a time.
+	// probeSuccesses is the number of consecutive successful probes that end an ejection.
 	probeSuccesses = 5
-	maxProbes      = 1
 	// probeTimeout is the time after which a probe without an outcome is given up, for
 	// example because its transaction goes on.
 	probeTimeout = 500 * time.Millisecond
 )
 
+// MaxProbes is the number of probes that may be under way at a time.
+const MaxProbes = 1
+
 // Group describes the servers of the group for the cap on ejections.
 type Group struct {
 	// Servers is the number of servers of the group, OthersEjected the number of the
@@ -121,23 +122,28 @@
 // home host had ejected the server.
 func (d *Detector) Inherit(now time.Duration) { d.state, d.level, d.calmSince = Probing, 1, now }
 
+// advance lets probes begin when an ejection has ended.
+func (d *Detector) advance(now time.Duration) {
+	if d.state == Ejected && now >= d.until {
+		d.state, d.successes, d.probes = Probing, 0, nil
+	}
+}
+
 // AdmitRead reports whether a read may be sent to the server. While the server is
 // probed, a read that is admitted is a probe.
 func (d *Detector) AdmitRead(now time.Duration) bool {
-	switch d.State(now) {
+	d.advance(now)
+	switch d.state {
 	case Ejected:
 		return false
 	case Probing:
 		for len(d.probes) > 0 && now-d.probes[0] >= probeTimeout {
 			d.probes = d.probes[1:]
 		}
-		if len(d.probes) >= maxProbes {
+		if len(d.probes) >= MaxProbes {
 			return false
 		}
 		d.probes = append(d.probes, now)
-		if d.state == Ejected {
-			d.state, d.successes = Probing, 0
-		}
 	}
 	return true
 }
@@ -145,6 +151,7 @@
 // RecordSuccess records an answer of the server, whether or not the request succeeded
 // for its caller. It returns the change of the state, if any.
 func (d *Detector) RecordSuccess(now time.Duration, customer string) (Change, bool) {
+	d.advance(now)
 	d.bucketAt(now, customer).requests++
 	d.lastSuccess = now
 	if d.state != Probing {
@@ -171,6 +178,7 @@
 // RecordFailure records a failure of the server and returns the change of the state, if
 // any.
 func (d *Detector) RecordFailure(now time.Duration, customer string, g Group) (Change, bool) {
+	d.advance(now)
 	b := d.bucketAt(now, customer)
 	b.requests++
 	b.failures++
