Pace servers that have started or recovered by their answers

A server got full load from its first success on. The home host now limits its concurrent statements: a third of the slots at first, up with answers while the limit is in use, down by BUSY, consecutive failures and latency against the usual one of the kind. Reads beyond the pace go to other servers at once.

--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -61,13 +61,16 @@
 	if err := p.admitSupervised(c.req.GetPrimary()); err != nil {
 		return err
 	}
+	if err := p.admitPaced(c.req.GetPrimary()); err != nil {
+		return err
+	}
 	if !p.admitCold() {
 		return verdict.New(verdict.NotRun, verdict.QueueFull, "backend server %s is cold and limited to %.0f requests per second", server, p.coldRate())
 	}
 	id, conn, err := c.acquire(p)
 	if err != nil {
 		if verdict.From(err).Reason == verdict.BackendUnreachable {
-			p.recordOutcome(c.req.GetCustomer(), c.began, err)
+			p.recordOutcome(c.req, statement.Kind(c.req.GetKind()), c.began, err)
 		}
 		return err
 	}
@@ -120,7 +123,7 @@
 	}
 	sent := c.x.opt.Clock()
 	if err := tx.conn.Reset(c.socketDeadline(sent + probeTimeout)); err != nil {
-		tx.pool.recordOutcome(c.req.GetCustomer(), sent, verdict.New(verdict.NotRun, verdict.AnswerOverdue, "reset: %v", err))
+		tx.pool.recordOutcome(c.req, statement.Rollback, sent, verdict.New(verdict.NotRun, verdict.AnswerOverdue, "reset: %v", err))
 		c.x.opt.Log.Info().Str("id", c.req.GetId()).Str("server", tx.pool.server.Name).Err(err).Msg("silent backend connection closed")
 		return verdict.New(verdict.NotRun, verdict.ConnectionLost, "a connection to backend server %s does not answer", tx.pool.server.Name)
 	}
@@ -135,7 +138,7 @@
 	sent := c.x.opt.Clock()
 	results, err := tx.conn.Run(c.socketDeadline(c.deadline), commands...)
 	now := c.x.opt.Clock()
-	tx.pool.recordOutcome(c.req.GetCustomer(), sent, outcomeOf(results, err))
+	tx.pool.recordOutcome(c.req, commands[len(commands)-1].Kind, sent, outcomeOf(results, err))
 	if err != nil {
 		if verdict.From(err).Reason == verdict.AnswerOverdue {
 			tx.pool.recordOverdueAnswer()
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -201,7 +201,7 @@
 		x.pools[name] = p
 	} else if dispatcherSettings(s) != dispatcherSettings(p.server) {
 		p.server.Slots, p.server.Connections = s.Slots, s.Connections
-		p.withDispatcher(func(now time.Duration) []backend.Action { return p.dispatcher.Configure(now, dispatcherSettings(s)) })
+		p.configure(dispatcherSettings(s))
 	}
 	return p, nil
 }
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/backend"
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
+	"github.com/cranberryhinge/cranberryhinge/internal/pace"
 	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/supervise"
@@ -43,6 +44,11 @@
 	retired     bool
 	// detector decides whether the server gets reads.
 	detector *supervise.Detector
+	// pace limits the concurrent statements, settings are those of the dispatcher.
+	// isPrimary is set while the requests use the server as the primary.
+	pace      *pace.Limit
+	settings  backend.Settings
+	isPrimary bool
 	// coldTokens is the content of the token bucket that limits the requests to a cold
 	// server, one that has just started; coldRefilledAt is the time of the last refill.
 	coldTokens     float64
@@ -71,11 +77,13 @@
 }
 
 func newServerPool(x *Executor, s catalog.Server) *serverPool {
-	return &serverPool{
-		x: x, server: s, dispatcher: backend.NewDispatcher(dispatcherSettings(s)),
-		conns: map[backend.ConnID]*conn{}, waiters: map[backend.RequestID]chan backend.Action{},
-		detector: x.newDetector(s),
+	p := &serverPool{
+		x: x, server: s, conns: map[backend.ConnID]*conn{}, waiters: map[backend.RequestID]chan backend.Action{},
+		detector: x.newDetector(s), pace: x.newPace(s),
 	}
+	p.settings = p.paced(dispatcherSettings(s))
+	p.dispatcher = backend.NewDispatcher(p.settings)
+	return p
 }
 
 func dispatcherSettings(s catalog.Server) backend.Settings {
--- a/internal/executor/supervision.go
+++ b/internal/executor/supervision.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
+	"github.com/cranberryhinge/cranberryhinge/internal/pace"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/supervise"
@@ -59,9 +61,9 @@
 	return verdict.New(verdict.NotRun, verdict.QueueFull, "backend server %s is ejected", p.server.Name)
 }
 
-// recordOutcome tells the detector how the server answered a statement that was sent at
-// sent. err is nil for a success.
-func (p *serverPool) recordOutcome(customer string, sent time.Duration, err error) {
+// recordOutcome tells the detector and the pace how the server answered a statement of
+// the given kind that was sent at sent. err is nil for a success.
+func (p *serverPool) recordOutcome(req *peerpb.ExecuteRequest, kind statement.Kind, sent time.Duration, err error) {
 	if !p.x.opt.Supervision.Enabled {
 		return
 	}
@@ -72,9 +74,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.x.opt.Clock()
+	customer, class := req.GetCustomer(), p.classify(err)
+	p.recordPace(now, pace.Kind{Statement: kind.String(), Priority: int(req.GetPriority())}, now-sent, class, err)
 	var change supervise.Change
 	var changed bool
-	switch p.classify(err) {
+	switch class {
 	case answered:
 		change, changed = p.detector.RecordSuccess(now, customer)
 	case overdue:
@@ -82,8 +86,12 @@
 	case failed:
 		change, changed = p.detector.RecordFailure(now, customer, group)
 	}
-	if changed {
-		p.reportChange(now, change)
+	if !changed {
+		return
+	}
+	p.reportChange(now, change)
+	if change.State == supervise.Serving && !change.Capped {
+		p.restartPace(now, "recovered")
 	}
 }
 
@@ -123,7 +131,7 @@
 	case verdict.AnswerOverdue:
 		return overdue
 	case verdict.ServerBusy:
-		if l := p.dispatcher.Load(p.x.opt.Clock()); l.Running < l.Slots {
+		if p.dispatcher.Load(p.x.opt.Clock()).Running < p.pace.Slots() {
 			return failed
 		}
 		return neutral
@@ -149,6 +157,13 @@
 // while it is ejected, and as many at a time as there may be probes after that. The
 // caller must hold mu.
 func (p *serverPool) addSupervision(now time.Duration, l *serverload.Load) {
+	if !p.x.opt.Supervision.Enabled {
+		return
+	}
+	l.Slots = p.pace.Slots()
+	if !p.pace.IsFull() {
+		l.Pace = p.pace.Allowed()
+	}
 	switch p.detector.State(now) {
 	case supervise.Ejected:
 		l.Ejected = true
