--- /dev/null
+++ b/internal/executor/supervision_test.go
@@ -0,0 +1,74 @@
+package executor
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
+	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
+)
+
+// Guards against a server that keeps its reads although it fails all of them, and against
+// an ejection that takes the primary's requests away.
+func TestEjectedServerGetsNoReadsButThePrimarysRequests(t *testing.T) {
+	f := newFixture(t)
+	f.x.opt.ReportLoads = true
+	f.x.opt.Supervision = Supervision{Enabled: true, Loads: serverload.NewTable()}
+	f.server.failWith = func(*fakeConn, statement.Command) *verdict.Error {
+		return verdict.New(verdict.Ran, verdict.StatementFailed, "failed")
+	}
+	p, err := f.x.pool("db")
+	assert.NilError(t, err)
+	// The catalog of the fixture has one server, which the cap would protect.
+	for range 5 {
+		f.do(read())
+	}
+	r := f.do(read())
+	assert.Assert(t, !r.GetLoad().GetEjected())
+	assert.Equal(t, f.x.opt.Counters.Get("ejections_capped"), int64(1))
+
+	p.detector.Inherit(f.x.opt.Clock())
+	r = f.do(read())
+	assert.Equal(t, r.GetFailure().GetReason(), string(verdict.StatementFailed))
+	assert.Assert(t, r.GetLoad().GetEjected(), "a failed probe ends no ejection")
+	f.wantFailure(f.do(read()), verdict.NotRun, verdict.QueueFull)
+
+	f.server.mu.Lock()
+	f.server.failWith = nil
+	f.server.mu.Unlock()
+	assert.Assert(t, f.do(write()).GetFailure() == nil)
+}
+
+// Guards against reads that queue at a server whose home host knows nothing of it yet, and
+// against a limit that the primary's requests do not wait for.
+func TestReadsBeyondThePaceAreRefusedAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.x.opt.ReportLoads = true
+	f.x.opt.Supervision = Supervision{Enabled: true, Loads: serverload.NewTable()}
+	running, release := make(chan struct{}), make(chan struct{})
+	f.server.dropsAnswer = func(cmd statement.Command) bool {
+		if cmd.Text == "READ slow" {
+			f.server.mu.Unlock()
+			close(running)
+			<-release
+			f.server.mu.Lock()
+		}
+		return false
+	}
+	slow := read()
+	slow.Text = "READ slow"
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.do(slow)
+	}()
+	<-running
+	r := f.do(read())
+	f.wantFailure(r, verdict.NotRun, verdict.QueueFull)
+	assert.Equal(t, r.GetLoad().GetPace(), uint32(1))
+	assert.Assert(t, f.do(write()).GetFailure() == nil)
+	close(release)
+	<-done
+}
