Let reads leave a server whose statements take three times as long

A server that is slow for good or for a while keeps no queue, so its expected wait says nothing. It keeps an eighth of the reads of its zone, so that its service time stays known.

--- a/internal/routing/byload.go
+++ b/internal/routing/byload.go
@@ -21,17 +21,28 @@
 const (
 	SpillNone    Spill = ""
 	SpillWait    Spill = "wait"     // the first server would probably answer after the budget
+	SpillSlow    Spill = "slow"     // the statements of the first server take far longer than those of another
+	SpillPace    Spill = "pace"     // the first server is paced by its home host
 	SpillEjected Spill = "ejected"  // the first server is ejected by its home host
 	SpillPrimary Spill = "replicas" // all replicas are full, and the primary has room
 )
 
 // Spills returns all reasons for a spill, to register their counters.
-func Spills() []Spill { return []Spill{SpillWait, SpillEjected, SpillPrimary} }
+func Spills() []Spill { return []Spill{SpillWait, SpillSlow, SpillPace, SpillEjected, SpillPrimary} }
 
 // minKnownShare is the share of a group's replicas that are not ejected below which
 // ejections are ignored: the remaining replicas could not serve the group.
 const minKnownShare = 0.5
 
+const (
+	// slowService is the multiple of another server's mean service time from which on a
+	// server counts as slow. Tails and the mix of statements differ by less.
+	slowService = 3.0
+	// slowKeptShare is the share of the reads that a slow server keeps, so that its
+	// service time stays known.
+	slowKeptShare = 1.0 / 8
+)
+
 // LoadOrder orders the candidates for reads by the known load of their servers. Hosts
 // with the same old knowledge must not all choose the same server, so each decision is
 // drawn at random with a probability that grows with the excess, and knowledge loses
@@ -74,8 +85,10 @@
 	// response the wait and the service together.
 	room           float64
 	wait, response time.Duration
-	// pacedShare is the share of the reads that the pace of the server keeps out.
-	pacedShare float64
+	// excluded is the share of the reads that should avoid the server whatever its queue,
+	// because of its pace or its service time, and cause the reason.
+	excluded float64
+	cause    Spill
 }
 
 func (o *LoadOrder) estimate(now time.Duration, server string, priority int) estimate {
@@ -97,7 +110,7 @@
 	// The knowledge fades to that of a server which is half in use.
 	trust := 1 - float64(max(age, 0))/float64(serverload.MaxAge)
 	occupied := l.Running + l.Waiting + sent
-	e := estimate{known: true, ejected: l.Ejected, pacedShare: trust * paced}
+	e := estimate{known: true, ejected: l.Ejected, excluded: trust * paced, cause: SpillPace}
 	e.room = trust*float64(max(slots-occupied, 0)) + (1-trust)*float64(slots)/2
 	wait := l.ExpectedWait(priority)
 	if occupied > slots {
@@ -109,12 +122,29 @@
 }
 
 // spillShare returns the share of the reads that should avoid the server: the part by
-// which its answers would exceed the budget, or the part beyond its pace.
-func (e estimate) spillShare(budget time.Duration) float64 {
-	if !e.known || e.response <= budget {
-		return e.pacedShare
+// which its answers would exceed the budget, or the excluded part.
+func (e estimate) spillShare(budget time.Duration) (share float64, cause Spill) {
+	if e.known && e.response > budget {
+		if over := 1 - float64(budget)/float64(e.response); over > e.excluded {
+			return over, SpillWait
+		}
+	}
+	return e.excluded, e.cause
+}
+
+// excludeSlow marks the servers whose service takes far longer than that of the fastest.
+func excludeSlow(replicas []loadedCandidate) {
+	fastest := time.Duration(0)
+	for _, c := range replicas {
+		if service := c.response - c.wait; c.known && service > 0 && (fastest == 0 || service < fastest) {
+			fastest = service
+		}
+	}
+	for i, c := range replicas {
+		if c.known && float64(c.response-c.wait) > slowService*float64(fastest) && c.excluded < 1-slowKeptShare {
+			replicas[i].excluded, replicas[i].cause = 1-slowKeptShare, SpillSlow
+		}
 	}
-	return max(e.pacedShare, 1-float64(budget)/float64(e.response))
 }
 
 // loadedCandidate is a candidate with its estimate.
@@ -157,8 +187,9 @@
 	if len(base) > 0 && len(ejected) > 0 && ejected[0].Server == base[0].Server {
 		spill = SpillEjected
 	}
-	if o.moveToRoom(replicas, v, d) && spill == SpillNone {
-		spill = SpillWait
+	excludeSlow(replicas)
+	if cause := o.moveToRoom(replicas, v, d); spill == SpillNone {
+		spill = cause
 	}
 	if len(primary) > 0 && o.primaryFirst(replicas, primary[0], d) {
 		replicas, primary, spill = slices.Concat(primary, replicas), nil, SpillPrimary
@@ -172,16 +203,17 @@
 }
 
 // moveToRoom moves a server with room to the front when the first server would probably
-// answer too late, or when no server is in the own zone. It reports whether a read leaves
-// a server of its own zone.
-func (o *LoadOrder) moveToRoom(replicas []loadedCandidate, v GroupView, d ReadDemand) bool {
+// answer too late, or when no server is in the own zone. It returns why a read leaves a
+// server of its own zone.
+func (o *LoadOrder) moveToRoom(replicas []loadedCandidate, v GroupView, d ReadDemand) Spill {
 	if len(replicas) < 2 {
-		return false
+		return SpillNone
 	}
-	first, zones := replicas[0], serverZones(v)
-	local := zones[first.Server] == v.OwnZone
-	if local && o.balancer.rand.Float64() >= first.spillShare(d.Budget) {
-		return false
+	first := replicas[0]
+	share, cause := first.spillShare(d.Budget)
+	local := serverZones(v)[first.Server] == v.OwnZone
+	if local && o.balancer.rand.Float64() >= share {
+		return SpillNone
 	}
 	start := 0
 	if local {
@@ -189,16 +221,19 @@
 	}
 	best := o.betterOfTwo(replicas[start:])
 	if best < 0 {
-		return false
+		return SpillNone
 	}
 	best += start
-	if best == 0 || local && replicas[best].response >= first.response && first.pacedShare == 0 {
-		return false
+	if best == 0 || cause == SpillWait && local && replicas[best].response >= first.response {
+		return SpillNone
 	}
 	c := replicas[best]
 	copy(replicas[1:best+1], replicas[:best])
 	replicas[0] = c
-	return local
+	if !local {
+		return SpillNone
+	}
+	return cause
 }
 
 func serverZones(v GroupView) map[string]string {
@@ -248,7 +283,8 @@
 	}
 	share := 1.0
 	for _, c := range replicas {
-		share = min(share, c.spillShare(d.Budget))
+		excess, _ := c.spillShare(d.Budget)
+		share = min(share, excess)
 	}
 	return share > 0 && o.balancer.rand.Float64() < share
 }
--- a/internal/routing/byload_test.go
+++ b/internal/routing/byload_test.go
@@ -226,3 +226,55 @@
 		assert.Assert(t, after.spread < before.spread)
 	}
 }
+
+// loadView is a group of three servers, the first of them the primary, seen from zone b.
+func loadView() GroupView {
+	v := GroupView{OwnZone: "b", Primary: "pa", Term: 1, Homes: map[string]Host{}, Unreachable: map[string]bool{}}
+	for name, zone := range map[string]string{"pa": "a", "rb": "b", "rc": "c"} {
+		v.Group.Servers = append(v.Group.Servers, config.Server{Name: name, Zone: zone})
+		v.Homes[name] = Host{Name: "home-" + name, Zone: zone}
+	}
+	return v
+}
+
+// firstServers counts which server comes first in 1000 orders, by the given loads.
+func firstServers(loads ...serverload.Load) map[string]int {
+	table := serverload.NewTable()
+	for _, l := range loads {
+		l.Slots, l.MeasuredAt = 6, time.Minute
+		if l.Service == 0 {
+			l.Service = modelService
+		}
+		table.Record(l)
+	}
+	o := NewLoadOrder(testBalancer(), table)
+	first := map[string]int{}
+	for range 1000 {
+		order, _ := o.ReadCandidates(time.Minute, loadView(), ReadDemand{Budget: modelTarget / 2})
+		first[order[0].Server]++
+	}
+	return first
+}
+
+// Guards against reads that stay with a server of their zone that is ejected, slow or
+// full, and against reads at the primary while a replica can serve them.
+func TestReadsLeaveServersThatCannotServeThem(t *testing.T) {
+	full := []time.Duration{10 * time.Second}
+	for _, tt := range []struct {
+		name  string
+		loads []serverload.Load
+		want  string
+	}{
+		{"nothing is known", nil, "rb"},
+		{"all have room", []serverload.Load{{Server: "pa"}, {Server: "rb"}, {Server: "rc"}}, "rb"},
+		{"own server ejected", []serverload.Load{{Server: "pa"}, {Server: "rb", Ejected: true}, {Server: "rc"}}, "rc"},
+		{"all replicas ejected", []serverload.Load{{Server: "pa"}, {Server: "rb", Ejected: true}, {Server: "rc", Ejected: true}}, "rb"},
+		{"own server slow", []serverload.Load{{Server: "pa"}, {Server: "rb", Service: 8 * modelService}, {Server: "rc"}}, "rc"},
+		{"own server full", []serverload.Load{{Server: "pa"}, {Server: "rb", Running: 6, Wait: full}, {Server: "rc"}}, "rc"},
+		{"own server paced", []serverload.Load{{Server: "pa"}, {Server: "rb", Pace: 1}, {Server: "rc"}}, "rc"},
+		{"replicas full", []serverload.Load{{Server: "pa"}, {Server: "rb", Running: 6, Wait: full}, {Server: "rc", Running: 6, Wait: full}}, "pa"},
+	} {
+		first := firstServers(tt.loads...)
+		assert.Assert(t, first[tt.want] > 800, "%s: %v", tt.name, first)
+	}
+}
