--- a/internal/routing/byload.go
+++ b/internal/routing/byload.go
@@ -27,9 +27,6 @@
 	SpillPrimary Spill = "replicas" // all replicas are full, and the primary has room
 )
 
-// Spills returns all reasons for a spill, to register their counters.
-func Spills() []Spill { return []Spill{SpillWait, SpillSlow, SpillPace, SpillEjected, SpillPrimary} }
-
 // minKnownShare is the share of a group's replicas that are not ejected below which
 // ejections are ignored: the remaining replicas could not serve the group.
 const minKnownShare = 0.5
