--- a/internal/routing/byload.go
+++ b/internal/routing/byload.go
@@ -27,9 +27,9 @@
 	SpillPrimary Spill = "replicas" // all replicas are full, and the primary has room
 )
 
-// minKnownShare is the share of a group's replicas that are not ejected below which
+// minServingShare is the share of a group's replicas that are not ejected below which
 // ejections are ignored: the remaining replicas could not serve the group.
-const minKnownShare = 0.5
+const minServingShare = 0.5
 
 const (
 	// slowService is the multiple of another server's mean service time from which on a
@@ -167,7 +167,7 @@
 			}
 		}
 	}
-	eject := float64(total-outliers) >= minKnownShare*float64(total)
+	eject := float64(total-outliers) >= minServingShare*float64(total)
 	for _, c := range list {
 		switch {
 		case c.Primary:
@@ -280,10 +280,13 @@
 	}
 	share := 1.0
 	for _, c := range replicas {
-		excess, _ := c.spillShare(d.Budget)
+		excess, cause := c.spillShare(d.Budget)
+		if cause != SpillWait {
+			return false
+		}
 		share = min(share, excess)
 	}
-	return share > 0 && o.balancer.rand.Float64() < share
+	return o.balancer.rand.Float64() < share
 }
 
 // WaitLimit returns how long a read should wait for a slot of the server: no longer than
--- a/internal/routing/byload_test.go
+++ b/internal/routing/byload_test.go
@@ -126,8 +126,7 @@
 			answer(false)
 			return
 		}
-		var start func()
-		start = func() {
+		start := func() {
 			s.running++
 			m.after(service, func() {
 				s.running--
@@ -272,6 +271,7 @@
 		{"own server slow", []serverload.Load{{Server: "pa"}, {Server: "rb", Service: 8 * modelService}, {Server: "rc"}}, "rc"},
 		{"own server full", []serverload.Load{{Server: "pa"}, {Server: "rb", Running: 6, Wait: full}, {Server: "rc"}}, "rc"},
 		{"own server paced", []serverload.Load{{Server: "pa"}, {Server: "rb", Pace: 1}, {Server: "rc"}}, "rc"},
+		{"replicas paced", []serverload.Load{{Server: "pa"}, {Server: "rb", Pace: 5}, {Server: "rc", Pace: 1}}, "rb"},
 		{"replicas full", []serverload.Load{{Server: "pa"}, {Server: "rb", Running: 6, Wait: full}, {Server: "rc", Running: 6, Wait: full}}, "pa"},
 	} {
 		first := firstServers(tt.loads...)
