--- a/internal/frontend/byload.go
+++ b/internal/frontend/byload.go
@@ -30,12 +30,25 @@
 		return f.balancer.ReadCandidates(o.now(), v, false)
 	}
 	candidates, spill := f.loadOrder.ReadCandidates(o.now(), v, o.readDemand())
-	if spill != routing.SpillNone && o.attempts == 0 {
-		f.opt.Counters.Add("reads_spilled_"+string(spill), 1)
+	if o.attempts == 0 && len(candidates) > 0 {
+		o.countOrder(candidates[0], spill)
 	}
 	return candidates
 }
 
+// countOrder counts why the first server was chosen and how old the knowledge of it is.
+func (o *operation) countOrder(first routing.Candidate, spill routing.Spill) {
+	f := o.s.f
+	if spill != routing.SpillNone {
+		f.opt.Counters.Add("reads_spilled_"+string(spill), 1)
+	}
+	if _, age, ok := f.opt.Loads.Get(o.now(), first.Server); ok {
+		f.opt.Latencies.Record("load_age", age)
+	} else {
+		f.opt.Counters.Add("reads_load_unknown", 1)
+	}
+}
+
 // isUntried reports whether the operation has not tried the server and the server does
 // not lag. The caller must hold the frontend's lock.
 func (o *operation) isUntried(c routing.Candidate) bool {
