--- /dev/null
+++ b/internal/frontend/byload_test.go
@@ -0,0 +1,42 @@
+package frontend
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
+)
+
+// Guards against reads that queue for the whole wait at a full replica, or are refused for
+// want of a retry budget, while another replica has room.
+func TestReadsMoveFromAFullReplicaWithoutRetryBudget(t *testing.T) {
+	x := newFixture(t)
+	x.f.opt.RouteByLoad = true
+	x.sample(40)
+	var waits []int64
+	x.fleet.answer = func(host string, req *peerpb.ExecuteRequest) (*peerpb.ExecuteResponse, error) {
+		if host == "home-r1" {
+			waits = append(waits, req.GetWaitUs())
+			return failureResponse(verdict.NotRun, verdict.QueueFull), nil
+		}
+		return nil, nil
+	}
+	for x.f.takeRetry() {
+	}
+	c := x.open("bounded")
+	for range 40 {
+		r := c.do(statement.Read, "READ a")
+		assert.Assert(t, r.Err == nil, "%v", r.Err)
+	}
+	full := (&operation{s: newSession(x.f, nil)}).maxSlotWait().Microseconds()
+	assert.Assert(t, len(waits) > 0)
+	for _, w := range waits {
+		assert.Assert(t, w < full/2, "a read with an alternative waits %d µs", w)
+	}
+	for _, call := range x.fleet.recordedCalls() {
+		assert.Assert(t, !call.req.GetPrimary(), "a read at the primary while a replica has room")
+	}
+}
