Leave slow servers that answer in time their reads

The exclusion by service time is taken out, and latency cuts the pace only until a server has been in full use for 2 s.

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -64,6 +64,9 @@
 	usedSince time.Duration
 	lastCut   time.Duration
 	hasCut    bool
+	// settled is set once the limit has allowed all slots since fullSince for fullAfter.
+	settled   bool
+	fullSince time.Duration
 	// failures counts the consecutive failures since the last answer.
 	failures int
 	ratio    float64
@@ -78,7 +81,7 @@
 
 // New returns a limit that allows all slots.
 func New(slots int) *Limit {
-	return &Limit{slots: slots, limit: float64(slots), threshold: float64(slots), ratio: 1, usual: map[Kind]*usualLatency{}}
+	return &Limit{slots: slots, limit: float64(slots), threshold: float64(slots), ratio: 1, settled: true, usual: map[Kind]*usualLatency{}}
 }
 
 // SetSlots sets the number of slots of the server.
@@ -92,7 +95,7 @@
 // Restart makes the limit start low again.
 func (l *Limit) Restart() {
 	l.limit = min(l.limit, max(1, float64(l.slots)*lowStart))
-	l.threshold, l.usedSince, l.ratio = float64(l.slots), 0, 1
+	l.threshold, l.usedSince, l.ratio, l.settled, l.fullSince = float64(l.slots), 0, 1, false, 0
 }
 
 // Allowed returns the number of concurrent statements that the limit allows.
@@ -138,8 +141,10 @@
 	}
 	u.mean = max(u.mean+time.Duration(weight*(ratio-1)*float64(u.mean)), 1)
 	if slow {
+		// A server that has long been in full use is left alone: fewer statements would only
+		// move its load to the others.
 		floor := latencyFloor * float64(l.slots)
-		if l.limit > floor && l.cut(now, max(latencyCut*l.limit, floor)) {
+		if !l.settled && l.limit > floor && l.cut(now, max(latencyCut*l.limit, floor)) {
 			return Latency, true
 		}
 		return "", false
@@ -153,7 +158,14 @@
 }
 
 func (l *Limit) grow(now time.Duration) {
-	if l.IsFull() || l.usedSince == 0 {
+	if l.IsFull() {
+		if l.fullSince == 0 {
+			l.fullSince = now
+		}
+		l.settled = l.settled || now-l.fullSince >= fullAfter
+		return
+	}
+	if l.usedSince == 0 {
 		return
 	}
 	switch {
@@ -185,6 +197,6 @@
 	if l.hasCut && now-l.lastCut < cutInterval {
 		return false
 	}
-	l.limit, l.threshold, l.lastCut, l.hasCut = limit, limit, now, true
+	l.limit, l.threshold, l.lastCut, l.hasCut, l.settled, l.fullSince = limit, limit, now, true, false, 0
 	return true
 }
--- a/internal/routing/byload.go
+++ b/internal/routing/byload.go
@@ -21,7 +21,6 @@
 const (
 	SpillNone    Spill = ""
 	SpillWait    Spill = "wait"     // the first server would probably answer after the budget
-	SpillSlow    Spill = "slow"     // the statements of the first server take far longer than those of another
 	SpillPace    Spill = "pace"     // the first server is paced by its home host
 	SpillEjected Spill = "ejected"  // the first server is ejected by its home host
 	SpillPrimary Spill = "replicas" // all replicas are full, and the primary has room
@@ -31,15 +30,6 @@
 // ejections are ignored: the remaining replicas could not serve the group.
 const minServingShare = 0.5
 
-const (
-	// slowService is the multiple of another server's mean service time from which on a
-	// server counts as slow. Tails and the mix of statements differ by less.
-	slowService = 3.0
-	// slowKeptShare is the share of the reads that a slow server keeps, so that its
-	// service time stays known.
-	slowKeptShare = 1.0 / 8
-)
-
 // LoadOrder orders the candidates for reads by the known load of their servers. Hosts
 // with the same old knowledge must not all choose the same server, so each decision is
 // drawn at random with a probability that grows with the excess, and knowledge loses
@@ -82,10 +72,8 @@
 	// response the wait and the service together.
 	room           float64
 	wait, response time.Duration
-	// excluded is the share of the reads that should avoid the server whatever its queue,
-	// because of its pace or its service time, and cause the reason.
+	// excluded is the share of the reads that the pace of the server keeps out.
 	excluded float64
-	cause    Spill
 }
 
 func (o *LoadOrder) estimate(now time.Duration, server string, priority int) estimate {
@@ -107,7 +95,7 @@
 	// The knowledge fades to that of a server which is half in use.
 	trust := 1 - float64(max(age, 0))/float64(serverload.MaxAge)
 	occupied := l.Running + l.Waiting + sent
-	e := estimate{known: true, ejected: l.Ejected, excluded: trust * paced, cause: SpillPace}
+	e := estimate{known: true, ejected: l.Ejected, excluded: trust * paced}
 	e.room = trust*float64(max(slots-occupied, 0)) + (1-trust)*float64(slots)/2
 	wait := l.ExpectedWait(priority)
 	if occupied > slots {
@@ -126,22 +114,7 @@
 			return over, SpillWait
 		}
 	}
-	return e.excluded, e.cause
-}
-
-// excludeSlow marks the servers whose service takes far longer than that of the fastest.
-func excludeSlow(replicas []loadedCandidate) {
-	fastest := time.Duration(0)
-	for _, c := range replicas {
-		if service := c.response - c.wait; c.known && service > 0 && (fastest == 0 || service < fastest) {
-			fastest = service
-		}
-	}
-	for i, c := range replicas {
-		if c.known && float64(c.response-c.wait) > slowService*float64(fastest) && c.excluded < 1-slowKeptShare {
-			replicas[i].excluded, replicas[i].cause = 1-slowKeptShare, SpillSlow
-		}
-	}
+	return e.excluded, SpillPace
 }
 
 // loadedCandidate is a candidate with its estimate.
@@ -184,7 +157,6 @@
 	if len(base) > 0 && len(ejected) > 0 && ejected[0].Server == base[0].Server {
 		spill = SpillEjected
 	}
-	excludeSlow(replicas)
 	if cause := o.moveToRoom(replicas, v, d); spill == SpillNone {
 		spill = cause
 	}
@@ -281,7 +253,7 @@
 	share := 1.0
 	for _, c := range replicas {
 		excess, cause := c.spillShare(d.Budget)
-		if cause != SpillWait {
+		if excess == 0 || cause != SpillWait {
 			return false
 		}
 		share = min(share, excess)
