--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -78,9 +78,11 @@
 	ReportLoads bool
 	// ContentionControl serves waiting requests by what can still be served in time.
 	ContentionControl bool
-	Clock             clock.Clock
-	Log               *log.Logger
-	Counters          *telemetry.Counters
+	// Supervision ejects servers that fail.
+	Supervision Supervision
+	Clock       clock.Clock
+	Log         *log.Logger
+	Counters    *telemetry.Counters
 }
 
 // Executor runs statements at the backend servers of which this host is the home host.
@@ -206,7 +208,7 @@
 		x.pools[name] = p
 	} else if x.dispatcherSettings(s) != x.dispatcherSettings(p.server) {
 		p.server.Slots, p.server.Connections = s.Slots, s.Connections
-		p.withDispatcher(func(now time.Duration) []backend.Action { return p.dispatcher.Configure(now, x.dispatcherSettings(s)) })
+		p.configure(x.dispatcherSettings(s))
 	}
 	return p, nil
 }
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -7,8 +7,10 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/backend"
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
+	"github.com/cranberryhinge/cranberryhinge/internal/pace"
 	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/supervise"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
 
@@ -40,6 +42,13 @@
 	// connection that has not answered since then is probed before it is used.
 	lastOverdue time.Duration
 	retired     bool
+	// detector decides whether the server gets reads.
+	detector *supervise.Detector
+	// pace limits the concurrent statements, settings are those of the dispatcher.
+	// isPrimary is set while the requests use the server as the primary.
+	pace      *pace.Limit
+	settings  backend.Settings
+	isPrimary bool
 	// coldTokens is the content of the token bucket that limits the requests to a cold
 	// server, one that has just started; coldRefilledAt is the time of the last refill.
 	coldTokens     float64
@@ -68,10 +77,13 @@
 }
 
 func newServerPool(x *Executor, s catalog.Server) *serverPool {
-	return &serverPool{
-		x: x, server: s, dispatcher: backend.NewDispatcher(x.dispatcherSettings(s)),
-		conns: map[backend.ConnID]*conn{}, waiters: map[backend.RequestID]chan backend.Action{},
+	p := &serverPool{
+		x: x, server: s, conns: map[backend.ConnID]*conn{}, waiters: map[backend.RequestID]chan backend.Action{},
+		detector: x.newDetector(s), pace: x.newPace(s),
 	}
+	p.settings = p.paced(x.dispatcherSettings(s))
+	p.dispatcher = backend.NewDispatcher(p.settings)
+	return p
 }
 
 func (x *Executor) dispatcherSettings(s catalog.Server) backend.Settings {
@@ -297,5 +309,6 @@
 	now := p.x.opt.Clock()
 	l := p.dispatcher.Load(now)
 	l.Server, l.MeasuredAt = p.server.Name, now
+	p.addSupervision(now, &l)
 	return l
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -61,6 +61,8 @@
 	// ContentionControl refuses statements that home hosts cannot serve in time, by the
 	// known loads, and tells home hosts the latency targets.
 	ContentionControl bool
+	// RouteByLoad orders the servers for reads by Loads.
+	RouteByLoad bool
 	// MaxClients limits the number of open sessions.
 	MaxClients int
 	// AbortAfter is the time after the start of a planned stop at which open
@@ -91,6 +93,7 @@
 	mu          sync.Mutex
 	sessions    map[*session]struct{}
 	balancer    *routing.Balancer
+	loadOrder   *routing.LoadOrder
 	retryBudget *routing.RetryBudget
 	throttle    *admission.Throttle
 	samples     *freshness.Samples
@@ -102,9 +105,13 @@
 
 // New returns a Frontend that accepts sessions once Run is called.
 func New(opt Options) *Frontend {
+	if opt.Loads == nil {
+		opt.Loads = serverload.NewTable()
+	}
+	balancer := routing.NewBalancer(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)))
 	return &Frontend{
 		opt: opt, sessions: map[*session]struct{}{}, samples: freshness.New(),
-		balancer:    routing.NewBalancer(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0))),
+		balancer: balancer, loadOrder: routing.NewLoadOrder(balancer, opt.Loads),
 		retryBudget: routing.NewRetryBudget(), throttle: admission.NewThrottle(),
 	}
 }
--- a/internal/frontend/operation.go
+++ b/internal/frontend/operation.go
@@ -53,6 +53,9 @@
 	floor        statement.Position
 	// refusedHere is set when this host refused the last attempt before the hop.
 	refusedHere bool
+	// waitLimit limits the wait for a slot at the next server; 0 for no other limit than
+	// slotWaitShare.
+	waitLimit time.Duration
 }
 
 func (s *session) newOperation(st statement.Statement, route config.Route, arrived time.Duration) *operation {
@@ -264,11 +267,12 @@
 		// A replica that is too stale has run nothing, and the primary is tried at last:
 		// such a retry does not multiply the load of a failing server. The same holds for an
 		// attempt that this host refused itself.
-		if e.Reason != verdict.NoFreshReplica && !o.refusedHere && !o.s.f.takeRetry(o.route.Priority) {
+		if e.Reason != verdict.NoFreshReplica && !o.refusedHere && !o.isSpill(e) && !o.s.f.takeRetry(o.route.Priority) {
 			return nil, last
 		}
 		o.s.f.opt.Counters.CountRetry(e.Reason)
 	}
+	o.waitLimit = 0
 	return o.runAtPrimary(last)
 }
 
@@ -283,10 +287,12 @@
 	began := o.now()
 	limit := min(o.deadline, began+max(minReplicaTimeout, time.Duration(replicaAttemptShare*float64(o.latencyTarget()))))
 	o.server = c.Server
+	o.recordSent(began, c)
 	resp, err := o.callHost(c.Home, req, limit)
 	f := o.s.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.loadOrder.RecordDone(began, c.Server)
 	if err == nil {
 		f.balancer.RecordSuccess(o.now(), c, o.now()-began)
 	} else {
@@ -306,8 +312,10 @@
 	f := o.s.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, c := range f.balancer.ReadCandidates(o.now(), v, false) {
-		if !o.triedServers[c.Server] && (c.Primary || !f.balancer.Lags(o.now(), c)) {
+	candidates := o.readCandidates(v)
+	for i, c := range candidates {
+		if o.isUntried(c) {
+			o.limitWait(candidates[i+1:])
 			return c, true
 		}
 	}
@@ -367,7 +375,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the deadline of the statement has passed")
 	}
 	req.TimeoutUs = left.Microseconds()
-	req.WaitUs = min(left, time.Duration(slotWaitShare*float64(o.latencyTarget()))).Microseconds()
+	req.WaitUs = min(left, o.maxSlotWait()).Microseconds()
 	if o.s.f.opt.ContentionControl {
 		if err := o.admit(req); err != nil {
 			return nil, err
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -186,15 +186,17 @@
 	if usageSettings.Window > 0 {
 		usageCounter = usage.NewCounter(h.clock, usageSettings.Retention(), h.counters)
 	}
+	loads := serverload.NewTable()
 	h.executor = executor.New(executor.Options{
 		Dialer: a.Dialer, Authority: h.failover, Snapshot: h.catalog.Snapshot, IsHomeHost: h.directory.isHomeHost,
 		Usage: usageCounter, ReportLoads: a.Features.ContentionControl || a.Features.ServerSupervision, ContentionControl: a.Features.ContentionControl,
-		Clock: h.clock, Log: h.log, Counters: h.counters,
+		Supervision: executor.Supervision{Enabled: a.Features.ServerSupervision, Loads: loads},
+		Clock:       h.clock, Log: h.log, Counters: h.counters,
 	}, rand.Uint64()>>1)
 	h.peerCalls = &peerCalls{
 		directory: h.directory, pool: peer.NewPool(nil, nil), executor: h.executor, failover: h.failover, counters: h.counters,
 		workers: pond.NewPool(heartbeatWorkers, pond.WithQueueSize(heartbeatWorkers), pond.WithNonBlocking(true)),
-		loads:   serverload.NewTable(), suspects: map[string]bool{}, followers: map[string]*store.Follower{}, groupStates: map[string]receivedState{},
+		loads:   loads, suspects: map[string]bool{}, followers: map[string]*store.Follower{}, groupStates: map[string]receivedState{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), extraRounds: make(chan struct{}, 1),
 	}
 	if usageCounter != nil {
@@ -223,7 +225,7 @@
 	h.frontend = frontend.New(frontend.Options{
 		Listener: h.listeners[clientListener], NewClient: a.NewClient, Snapshot: h.catalog.Snapshot, KeysFresh: h.catalog.KeysFresh,
 		Fleet: h.peerCalls, Limiter: h.limiter, Clock: h.clock, Log: h.log, Counters: h.counters,
-		Latencies: latencies, Loads: h.peerCalls.loads, ContentionControl: a.Features.ContentionControl,
+		Latencies: latencies, Loads: loads, RouteByLoad: a.Features.ServerSupervision, ContentionControl: a.Features.ContentionControl,
 		MaxClients: max(h.settings.Descriptors-reservedDescriptors, 1), AbortAfter: h.settings.StopGrace.Std()/2 + stopMargin/4,
 	})
 	h.peerCalls.frontend = h.frontend
