Count a request at the throttle when it is answered

Cause: the entry host counted a request when it was sent and its acceptance when it was answered, so that unanswered requests looked like refusals: of a burst of one customer the fifth could be refused, the twentieth most likely, though the home host had refused none. Change: Admit counts only what it refuses; Record counts the answer, accepted or not. The test's model reports refusals, too.

--- a/internal/admission/throttle.go
+++ b/internal/admission/throttle.go
@@ -71,7 +71,7 @@
 	return t.get(now, key{server: r.Server, priority: r.Priority}), t.get(now, key{customer: r.Customer, priority: r.Priority})
 }
 
-// Admit counts a request and reports whether to send it. random is in [0, 1).
+// Admit reports whether to send a request and counts it if not. random is in [0, 1).
 //
 // A request is refused in proportion to the refusals of its server and of its customer,
 // whichever are fewer, so that a customer within its share is not refused for the surge
@@ -85,17 +85,25 @@
 	if !recent || r.Load.ExpectedWait(r.Priority) <= r.Wait {
 		refuse = min(refuse, customer.hopeless(minCustomerRefused))
 	}
+	if recent && r.Load.Waiting == 0 && r.Load.Running < r.Load.Slots || random >= refuse {
+		return true
+	}
 	server.requests++
 	customer.requests++
-	return recent && r.Load.Waiting == 0 && r.Load.Running < r.Load.Slots || random >= refuse
+	return false
 }
 
-// Record counts a request that a home host accepted: it did not refuse it because it
-// could not serve it in time.
-func (t *Throttle) Record(now time.Duration, r Request) {
+// Record counts the answer to a request that was sent. accepted is false if the home host
+// refused it because it could not serve it in time. Requests without an answer are not
+// counted: they are no refusals.
+func (t *Throttle) Record(now time.Duration, r Request, accepted bool) {
 	server, customer := t.both(now, r)
-	server.accepted++
-	customer.accepted++
+	for _, c := range []*counts{server, customer} {
+		c.requests++
+		if accepted {
+			c.accepted++
+		}
+	}
 }
 
 func (t *Throttle) get(now time.Duration, k key) *counts {
--- a/internal/admission/throttle_test.go
+++ b/internal/admission/throttle_test.go
@@ -37,13 +37,14 @@
 			}
 			s.sent++
 			calm := s.Customer == "calm"
-			if calm || room >= 1 {
+			accepted := calm || room >= 1
+			if accepted {
 				if !calm {
 					room--
 				}
 				s.accepted++
-				t.Record(now, s.Request)
 			}
+			t.Record(now, s.Request, accepted)
 		}
 	}
 }
@@ -97,3 +98,17 @@
 	play(throttle, 10*time.Second, 5*time.Second, 0, s)
 	assert.Assert(t, throttle.Admit(20*time.Second, s.Request, 0))
 }
+
+// Guards against requests that are refused because earlier ones of the same burst, which
+// the home host accepts, have not been answered yet.
+func TestUnansweredRequestsAreNotRefusals(t *testing.T) {
+	throttle := NewThrottle()
+	r := Request{Server: "s", Customer: "c", Wait: time.Second}
+	for i := range 20 {
+		assert.Assert(t, throttle.Admit(time.Duration(i)*time.Millisecond, r, 0), "request %d", i)
+	}
+	for range 20 {
+		throttle.Record(200*time.Millisecond, r, true)
+	}
+	assert.Assert(t, throttle.Admit(200*time.Millisecond, r, 0))
+}
--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -52,14 +52,15 @@
 	if !ok {
 		return
 	}
+	accepted := true
 	if err != nil {
 		switch verdict.From(err).Reason {
 		case verdict.DeadlineExpected, verdict.DeadlineExceeded, verdict.QueueFull:
-			return
+			accepted = false
 		}
 	}
 	f := o.s.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.throttle.Record(o.now(), r)
+	f.throttle.Record(o.now(), r, accepted)
 }
