Bound the waits for connections and slots that contention control adds

Causes and changes, each with a test that failed before: - A request waited for a statement of its customer that was long overdue, with free slots, until its own wait had passed. Such a statement counts until it is overdue by the time to open a connection; ActionRecheck starts the request then, as nothing else might happen at the server. TestRequestDoesNotWaitForOverdueStatement - Each event during the closing of a connection closed one more for the same request; now one. TestOneConnectionIsDisplacedForOneRequest - A connection without a first use was closed first although its request still waited for a slot. TestUnusedConnectionIsKeptForItsRequest - The starvation bound went to a transaction that may not take a connection, so that other requests of low priorities were never served. TestHeldBackTransactionDoesNotTakeStarvationBound - The statement of an open transaction that ranks by priority was outside the starvation bound. TestLowerPriorityStatementOfTransactionIsServedWithinBound - One statement of several seconds counted as the use of all slots and made expected waits up to 20 times as long. TestLongStatementUsesOneSlot

Evidence: go test and go test -race -short of backend, admission, frontend, executor, routing pass.

--- a/internal/backend/contention.go
+++ b/internal/backend/contention.go
@@ -86,8 +86,8 @@
 	// use is the recent use of the slots: by openings of connections and open
 	// transactions, which precede all new requests, and then by priority.
 	use [priorityLevels + 1]decayingSum
-	// passedOver is the expected service time of the new requests that started while one
-	// of a lower priority waited, since such a one last started.
+	// passedOver is the expected service time of the requests that started, by priority,
+	// while one of a lower priority waited, since such a one last started.
 	passedOver time.Duration
 	// resumedRunning counts the running statements of open transactions.
 	resumedRunning int
@@ -95,6 +95,8 @@
 	// the mean time to open a connection.
 	transactionConns int
 	openTime         time.Duration
+	// recheckAt is the time of the last ActionRecheck plus its delay.
+	recheckAt time.Duration
 	// recent is the newest request of each priority. The reported waits are those of
 	// further requests like it.
 	recent [priorityLevels]Demand
@@ -130,13 +132,16 @@
 		return
 	}
 	d.account(r.Customer).use.add(now, customerWindow, float64(d.expectedService(r)))
+	precedes := r.resumed && d.continuesFirst()
 	if r.resumed {
 		d.contention.resumedRunning++
+	}
+	if precedes {
 		return
 	}
 	higher, lower := false, false
 	for _, q := range d.queue {
-		if q.state == stateWaitingForConn {
+		if d.ranksByPriority(now, q) {
 			higher = higher || q.Priority < r.Priority
 			lower = lower || q.Priority > r.Priority
 		}
@@ -147,6 +152,21 @@
 	}
 }
 
+// continuesFirst reports whether the next statements of open transactions go before all
+// new requests.
+func (d *Dispatcher) continuesFirst() bool {
+	return d.contention.resumedRunning < max(d.slots()-1, 1)
+}
+
+// ranksByPriority reports whether a waiting request may run, but only after requests of
+// higher priorities.
+func (d *Dispatcher) ranksByPriority(now time.Duration, r *dispatchRequest) bool {
+	if r.state == stateWaitingForSlot {
+		return !d.continuesFirst()
+	}
+	return !d.heldBack(now, r)
+}
+
 // recordService records the service time of a statement that has ended.
 func (d *Dispatcher) recordService(now time.Duration, r *dispatchRequest, service time.Duration) {
 	if d.settings.Scheduling != EarliestTarget {
@@ -161,7 +181,13 @@
 	if !r.resumed {
 		level = useLevel(r.Priority) + 1
 	}
-	d.contention.use[level].add(now, useWindow, float64(service))
+	d.recordUse(now, level, service)
+}
+
+// recordUse records the use of a slot that has just ended. What a long use did before the
+// window has decayed already.
+func (d *Dispatcher) recordUse(now time.Duration, level int, length time.Duration) {
+	d.contention.use[level].add(now, useWindow, float64(useWindow)*-math.Expm1(-float64(length)/float64(useWindow)))
 }
 
 // expectedService returns the expected service time of the next statement of a request.
@@ -216,7 +242,7 @@
 func (d *Dispatcher) newWaiter(now time.Duration, r *dispatchRequest) waiter {
 	w := waiter{dispatchRequest: r, due: r.Target}
 	if r.state == stateWaitingForSlot {
-		w.continues, w.due = d.contention.resumedRunning < max(d.slots()-1, 1), r.since
+		w.continues, w.due = d.continuesFirst(), r.since
 		return w
 	}
 	if r.Target == 0 {
@@ -317,16 +343,16 @@
 	for _, w := range d.plan(now) {
 		waiters = append(waiters, w.dispatchRequest)
 	}
-	d.promoteStarved(waiters)
+	d.promoteStarved(now, waiters)
 	return waiters
 }
 
-// promoteStarved moves the new request that has waited longest, of those below the
+// promoteStarved moves the request that has waited longest, of those below the
 // highest waiting priority, to the front once it has been passed over for long enough.
-func (d *Dispatcher) promoteStarved(waiters []*dispatchRequest) {
+func (d *Dispatcher) promoteStarved(now time.Duration, waiters []*dispatchRequest) {
 	highest, starved := math.MaxInt, -1
 	for i, r := range waiters {
-		if r.state != stateWaitingForConn {
+		if !d.ranksByPriority(now, r) {
 			continue
 		}
 		highest = min(highest, r.Priority)
--- a/internal/backend/contention_sim_test.go
+++ b/internal/backend/contention_sim_test.go
@@ -71,6 +71,8 @@
 			s.at(openTime, func() { s.apply(s.d.RecordOpened(s.now, a.Conn)) })
 		case ActionClose:
 			s.at(closeTime, func() { s.apply(s.d.RecordClosed(s.now)) })
+		case ActionRecheck:
+			s.at(a.Delay, func() { s.apply(s.d.Recheck(s.now)) })
 		case ActionGrant, ActionContinue:
 			r := s.requests[a.Request]
 			r.waiting = false
@@ -363,3 +365,173 @@
 	}
 	assert.Equal(t, h.refused[10], verdict.DeadlineExpected)
 }
+
+// Guards against a request that waits, with free slots and room for a connection, for a
+// statement of its customer that takes much longer than expected.
+func TestRequestDoesNotWaitForOverdueStatement(t *testing.T) {
+	h := newDispatcherHarness(Settings{Slots: 4, Connections: 12, Scheduling: EarliestTarget})
+	for id := RequestID(1); id < 10; id++ {
+		h.apply(h.d.Request(h.now, id, Demand{Customer: "a", Wait: longWait}))
+		h.now += 10 * time.Millisecond
+		h.completeOpensAndCloses()
+		h.now += 10 * time.Millisecond
+		h.apply(h.d.Finish(h.now, id, true))
+	}
+	h.apply(h.d.Request(h.now, 10, Demand{Customer: "a", Wait: longWait}))
+	h.now += time.Second
+	h.apply(h.d.Request(h.now, 11, Demand{Customer: "a", Wait: 300 * time.Millisecond}))
+	h.completeOpensAndCloses()
+	_, granted := h.granted[11]
+	assert.Assert(t, granted)
+
+	// The statement becomes overdue while the request waits and nothing else happens.
+	h.apply(h.d.Finish(h.now, 10, true))
+	h.apply(h.d.Finish(h.now, 11, true))
+	h.apply(h.d.DropIdle(h.now, 0))
+	h.completeOpensAndCloses()
+	h.apply(h.d.Request(h.now, 20, Demand{Customer: "a", Wait: longWait}))
+	h.completeOpensAndCloses()
+	h.now += h.d.expectedService(h.d.requests[20])
+	var recheck []time.Duration
+	for _, a := range h.d.Request(h.now, 21, Demand{Customer: "a", Wait: longWait}) {
+		if a.Kind == ActionRecheck {
+			recheck = append(recheck, a.Delay)
+		}
+	}
+	assert.Equal(t, len(recheck), 1)
+	h.now += recheck[0]
+	h.apply(h.d.Recheck(h.now))
+	h.completeOpensAndCloses()
+	assert.Assert(t, h.running[21])
+}
+
+// Guards against a connection that is closed before the request for which it was opened
+// gets a slot.
+func TestUnusedConnectionIsKeptForItsRequest(t *testing.T) {
+	h := newDispatcherHarness(Settings{Slots: 1, Connections: 2 + ReservedConnections, Scheduling: EarliestTarget})
+	h.apply(h.d.Request(h.now, 1, Demand{Customer: "a", Wait: longWait}))
+	h.completeOpensAndCloses()
+	h.now += time.Millisecond
+	h.apply(h.d.Finish(h.now, 1, true))
+	h.apply(h.d.Request(h.now, 2, Demand{Customer: "low", Priority: 2, Wait: longWait}))
+	h.apply(h.d.Request(h.now, 3, Demand{Customer: "a", Wait: longWait}))
+	h.apply(h.d.Request(h.now, 4, Demand{Customer: "b", Wait: longWait}))
+	h.completeOpensAndCloses()
+	assert.Assert(t, h.running[3])
+	h.now += time.Millisecond
+	h.apply(h.d.Finish(h.now, 3, true))
+	assert.Assert(t, h.running[2])
+	h.now += time.Millisecond
+	h.apply(h.d.Finish(h.now, 2, true))
+	h.completeOpensAndCloses()
+	assert.Assert(t, h.running[4])
+	assert.Equal(t, h.openCount, 3)
+}
+
+// Guards against several connections closed for one waiting request because other
+// requests end while the first one is still being closed.
+func TestOneConnectionIsDisplacedForOneRequest(t *testing.T) {
+	h := newDispatcherHarness(Settings{Slots: 4, Connections: 6 + ReservedConnections, Scheduling: EarliestTarget})
+	for id := RequestID(1); id <= 6; id++ {
+		h.apply(h.d.Request(h.now, id, Demand{Customer: string(rune('a' + id)), Wait: longWait}))
+		h.completeOpensAndCloses()
+		h.now += time.Millisecond
+		h.apply(h.d.Finish(h.now, id, true))
+	}
+	h.apply(h.d.Request(h.now, 10, Demand{Customer: "new", Wait: longWait}))
+	assert.Equal(t, h.closing, 1)
+	h.apply(h.d.DropIdle(h.now, time.Hour))
+	h.apply(h.d.DropIdle(h.now, time.Hour))
+	assert.Equal(t, h.closing, 1)
+	h.apply(h.d.Request(h.now, 11, Demand{Customer: "another", Wait: longWait}))
+	assert.Equal(t, h.closing, 2)
+	h.completeOpensAndCloses()
+	assert.Assert(t, h.running[10] && h.running[11])
+}
+
+// Guards against a starvation bound that serves nobody: the request that has waited
+// longest may not take a connection, as open transactions hold too many.
+func TestHeldBackTransactionDoesNotTakeStarvationBound(t *testing.T) {
+	h := newDispatcherHarness(Settings{Slots: 1, Connections: 4 + ReservedConnections, Scheduling: EarliestTarget})
+	run := func(id RequestID, end func(time.Duration, RequestID)) {
+		h.completeOpensAndCloses()
+		h.now += time.Millisecond
+		delete(h.running, id)
+		end(h.now, id)
+		h.completeOpensAndCloses()
+	}
+	yield := func(now time.Duration, id RequestID) { h.apply(h.d.Yield(now, id)) }
+	finish := func(now time.Duration, id RequestID) { h.apply(h.d.Finish(now, id, true)) }
+	for id := RequestID(1); id <= 3; id++ {
+		h.apply(h.d.Request(h.now, id, Demand{Customer: string(rune('a' + id)), Wait: longWait, Transaction: true}))
+		run(id, yield)
+	}
+	next := RequestID(1000)
+	add := func() {
+		next++
+		h.apply(h.d.Request(h.now, next, Demand{Customer: "s", Wait: longWait}))
+		h.completeOpensAndCloses()
+	}
+	for range 8 {
+		add()
+	}
+	h.apply(h.d.Request(h.now, 10, Demand{Customer: "s", Priority: 2, Wait: longWait, Transaction: true}))
+	h.apply(h.d.Request(h.now, 11, Demand{Customer: "s", Priority: 2, Wait: longWait}))
+	for starts := 0; !h.running[11]; starts++ {
+		assert.Assert(t, starts <= 2*starvationShare, "not served")
+		add()
+		for id := range h.running {
+			run(id, finish)
+			break
+		}
+	}
+}
+
+// Guards against the statement of an open transaction of a low priority that never runs
+// because others of the transactions use their slots and new requests the last one.
+func TestLowerPriorityStatementOfTransactionIsServedWithinBound(t *testing.T) {
+	h := newDispatcherHarness(Settings{Slots: 2, Connections: 12, Scheduling: EarliestTarget})
+	for id, priority := range []int{0, 2} {
+		id := RequestID(id + 1)
+		h.apply(h.d.Request(h.now, id, Demand{Customer: string(rune('a' + id)), Priority: priority, Wait: longWait, Transaction: true}))
+		h.completeOpensAndCloses()
+		h.now += time.Millisecond
+		delete(h.running, id)
+		h.apply(h.d.Yield(h.now, id))
+	}
+	h.apply(h.d.Resume(h.now, 1)) // runs for long
+	next := RequestID(1000)
+	add := func() {
+		next++
+		h.apply(h.d.Request(h.now, next, Demand{Customer: "s", Wait: longWait}))
+		h.completeOpensAndCloses()
+	}
+	for range 8 {
+		add()
+	}
+	h.apply(h.d.Resume(h.now, 2))
+	for starts := 0; !h.running[2]; starts++ {
+		assert.Assert(t, starts <= 2*starvationShare, "not served")
+		add()
+		h.now += time.Millisecond
+		for id := range h.running {
+			if id != 1 {
+				delete(h.running, id)
+				h.apply(h.d.Finish(h.now, id, true))
+				break
+			}
+		}
+		h.completeOpensAndCloses()
+	}
+}
+
+// Guards against one long statement that counts as the use of all slots.
+func TestLongStatementUsesOneSlot(t *testing.T) {
+	h := newDispatcherHarness(Settings{Slots: 4, Connections: 12, Scheduling: EarliestTarget})
+	h.apply(h.d.Request(h.now, 1, Demand{Customer: "a", Wait: longWait}))
+	h.completeOpensAndCloses()
+	h.now += 5 * time.Second
+	h.apply(h.d.Finish(h.now, 1, true))
+	use := h.d.precedingUse(h.now)
+	assert.Assert(t, use[1] <= 0.25, "use %.2f", use[1])
+}
--- a/internal/backend/dispatcher.go
+++ b/internal/backend/dispatcher.go
@@ -306,7 +306,7 @@
 	d.actions = d.actions[:0]
 	if c, ok := d.conns[id]; ok && c.opening {
 		d.account(c.customer).serviceTime += now - c.lastUsed
-		d.contention.use[0].add(now, useWindow, float64(now-c.lastUsed))
+		d.recordUse(now, 0, now-c.lastUsed)
 		d.contention.openTime = average(d.contention.openTime, now-c.lastUsed)
 		c.opening, c.lastUsed = false, now
 		d.slotsInUse--
@@ -355,6 +355,12 @@
 	return d.dispatch(now)
 }
 
+// Recheck starts waiting requests after an ActionRecheck.
+func (d *Dispatcher) Recheck(now time.Duration) []Action {
+	d.actions = d.actions[:0]
+	return d.dispatch(now)
+}
+
 // DropIdle closes the connections that have been idle for at least the given
 // time.
 func (d *Dispatcher) DropIdle(now, idle time.Duration) []Action {
@@ -411,13 +417,13 @@
 			opening[c.customer]++
 		}
 	}
-	soon := d.connsFreeSoon(now)
+	soon, roomExpected := d.connsFreeSoon(now), d.roomExpected(now)
 	for _, r := range d.waitersInOrder(now) {
 		if r.state == stateWaitingForSlot {
 			d.start(now, r, r.conn)
 			return true
 		}
-		if r.Transaction && !d.mayOpenTransaction(now) {
+		if d.heldBack(now, r) {
 			d.contention.counts.TransactionsHeldBack++
 			continue
 		}
@@ -431,10 +437,17 @@
 		}
 		if soon[r.Customer] > 0 {
 			soon[r.Customer]--
-			d.contention.counts.OpeningsAvoided++
+			d.avoidOpening(now)
+			continue
+		}
+		if d.account(r.Customer).heldConns >= d.maxConnsPerCustomer(now) {
+			continue
+		}
+		if d.connections() >= d.budget(now) && roomExpected > 0 {
+			roomExpected--
 			continue
 		}
-		if d.account(r.Customer).heldConns < d.maxConnsPerCustomer(now) && d.makeRoom(now, r.Customer) {
+		if d.makeRoom(now, r.Customer) {
 			d.open(now, r.Customer)
 			return true
 		}
@@ -535,7 +548,7 @@
 	}
 	var victim *dispatchConn
 	for _, c := range d.conns {
-		if !c.busy && !c.opening && c.customer != customer && (victim == nil || d.leastValuable(now, c, victim)) {
+		if !c.busy && !c.opening && c.customer != customer && !d.awaitsUse(c) && (victim == nil || d.leastValuable(now, c, victim)) {
 			victim = c
 		}
 	}
--- a/internal/backend/shared.go
+++ b/internal/backend/shared.go
@@ -58,6 +58,8 @@
 	// ActionClose closes the idle connection Conn. The home host then calls
 	// RecordClosed.
 	ActionClose
+	// ActionRecheck asks the home host to call Recheck after Delay.
+	ActionRecheck
 )
 
 // Action is one instruction to the home host.
@@ -69,6 +71,7 @@
 	// Expected is the wait that a refused request of a Dispatcher would have had, 0 if its
 	// useful wait had passed.
 	Expected time.Duration
+	Delay    time.Duration
 	// Customer is the owner of the connection to open. It is empty if the
 	// customers share the connections.
 	Customer string
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -92,6 +92,8 @@
 			c := p.conns[a.Conn]
 			delete(p.conns, a.Conn)
 			go p.closeConn(c)
+		case backend.ActionRecheck:
+			time.AfterFunc(a.Delay, func() { p.withDispatcher(p.dispatcher.Recheck) })
 		default:
 			if w, ok := p.waiters[a.Request]; ok {
 				w <- a
