Tell the client that a read may have run before its retry was throttled

Cause: after an attempt with an unknown outcome the throttle could refuse the next one, and the client got 'has not run'. Change: the operation remembers that an attempt may have run; a refusal at this host then gives the answer of that attempt's kind. Refusals by home hosts are as before, since they don't depend on contention control.

--- a/internal/frontend/admission_test.go
+++ b/internal/frontend/admission_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/admission"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
@@ -56,3 +57,21 @@
 	target := x.fleet.recordedCalls()[0].req.GetTargetUs()
 	assert.Assert(t, target > 0 && target <= (200*time.Millisecond).Microseconds())
 }
+
+// Guards against "has not run" for a read that may have run at the first attempt, when this
+// host refuses the second one.
+func TestThrottledRetryDoesNotHideAttempt(t *testing.T) {
+	x := newFixture(t)
+	x.f.opt.ContentionControl, x.f.opt.Loads = true, serverload.NewTable()
+	x.fleet.answer = func(_ string, req *peerpb.ExecuteRequest) (*peerpb.ExecuteResponse, error) {
+		x.f.mu.Lock()
+		defer x.f.mu.Unlock()
+		for range 10_000 {
+			x.f.throttle.Record(x.now(), admission.Request{Server: "p", Customer: req.GetCustomer(), Priority: int(req.GetPriority())}, false)
+		}
+		return failureResponse(verdict.MayHaveRun, verdict.ConnectionLost), nil
+	}
+	wantErr(t, x.open("current").do(statement.Read, "READ a"), verdict.Ran, verdict.StatementFailed)
+	assert.Equal(t, len(x.fleet.recordedCalls()), 1)
+	assert.Equal(t, x.f.opt.Counters.Get("requests_throttled"), int64(1))
+}
--- a/internal/frontend/operation.go
+++ b/internal/frontend/operation.go
@@ -53,6 +53,8 @@
 	floor        statement.Position
 	// refusedHere is set when this host refused the last attempt before the hop.
 	refusedHere bool
+	// mayHaveRun is set when an attempt may have run.
+	mayHaveRun bool
 }
 
 func (s *session) newOperation(st statement.Statement, route config.Route, arrived time.Duration) *operation {
@@ -102,7 +104,8 @@
 
 // callerError returns the error that the client receives for e.
 func (o *operation) callerError(e *verdict.Error) *verdict.Error {
-	if e.Verdict == verdict.NotRun || !o.isReadOnly() || e.Reason == verdict.StatementFailed {
+	hidesAttempt := o.refusedHere && o.mayHaveRun
+	if e.Verdict == verdict.NotRun && !hidesAttempt || !o.isReadOnly() || e.Reason == verdict.StatementFailed {
 		return e
 	}
 	// A read has no effect, so the client can repeat it safely whether or not it ran.
@@ -382,6 +385,7 @@
 	}
 	o.recordAdmission(req, err)
 	if err != nil {
+		o.mayHaveRun = o.mayHaveRun || verdict.From(err).Verdict != verdict.NotRun
 		return nil, err
 	}
 	if p := resp.GetPosition(); resp.GetAuthoritative() && p != nil {
