Count transactions apart at the throttle

Cause: transactions that are refused for want of connections throttled the single statements of their customer and priority, although the server had free slots; held-back transactions wait there, so that no free slot ended the throttle. Change: the counts are kept apart for requests that open a transaction. Evidence: TestRefusedTransactionsDoNotThrottleStatements failed before. go test of admission, frontend, backend, executor, routing, host and go test -race -short of admission, frontend pass.

--- a/internal/admission/throttle.go
+++ b/internal/admission/throttle.go
@@ -30,6 +30,8 @@
 type Request struct {
 	Server, Customer string
 	Priority         int
+	// Transaction is set for a request that opens a transaction.
+	Transaction bool
 	// Wait is the longest useful wait for a slot.
 	Wait time.Duration
 	// Load is the newest known load of the server and LoadAge its age; LoadKnown is false
@@ -40,10 +42,12 @@
 }
 
 // key names requests that are counted together: those of a priority at a server, or those
-// of a priority and a customer.
+// of a priority and a customer. Transactions count separately, since they may be refused
+// for want of connections while single statements are served.
 type key struct {
 	server, customer string
 	priority         int
+	transaction      bool
 }
 
 // counts are the decaying numbers of requests and of those that home hosts accepted.
@@ -68,7 +72,10 @@
 func NewThrottle() *Throttle { return &Throttle{counts: map[key]*counts{}} }
 
 func (t *Throttle) both(now time.Duration, r Request) (server, customer *counts) {
-	return t.get(now, key{server: r.Server, priority: r.Priority}), t.get(now, key{customer: r.Customer, priority: r.Priority})
+	k := key{priority: r.Priority, transaction: r.Transaction}
+	serverKey, customerKey := k, k
+	serverKey.server, customerKey.customer = r.Server, r.Customer
+	return t.get(now, serverKey), t.get(now, customerKey)
 }
 
 // Admit reports whether to send a request and counts it if not. random is in [0, 1).
--- a/internal/admission/throttle_test.go
+++ b/internal/admission/throttle_test.go
@@ -112,3 +112,18 @@
 	}
 	assert.Assert(t, throttle.Admit(200*time.Millisecond, r, 0))
 }
+
+// Guards against single statements that are refused with the transactions of their customer:
+// these wait for connections while the server has free slots.
+func TestRefusedTransactionsDoNotThrottleStatements(t *testing.T) {
+	throttle := NewThrottle()
+	load := serverload.Load{Slots: 4, Running: 1, Waiting: 5}
+	single := Request{Server: "s", Customer: "c", Wait: time.Second, Load: load, LoadKnown: true}
+	tx := single
+	tx.Transaction = true
+	for i := range 100 {
+		throttle.Record(time.Duration(i)*time.Millisecond, tx, false)
+	}
+	assert.Assert(t, !throttle.Admit(100*time.Millisecond, tx, 0.5))
+	assert.Assert(t, throttle.Admit(100*time.Millisecond, single, 0))
+}
--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -14,7 +14,8 @@
 func (o *operation) admissionRequest(req *peerpb.ExecuteRequest) (r admission.Request, ok bool) {
 	r = admission.Request{
 		Server: req.GetServer(), Customer: req.GetCustomer(), Priority: int(req.GetPriority()),
-		Wait: time.Duration(req.GetWaitUs()) * time.Microsecond,
+		Transaction: req.GetBeginText() != "",
+		Wait:        time.Duration(req.GetWaitUs()) * time.Microsecond,
 	}
 	if req.GetPrimary() {
 		r.Server = o.s.f.opt.Fleet.View(o.route.Group).Primary
