--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -14,7 +14,8 @@
 func (o *operation) admissionRequest(req *peerpb.ExecuteRequest) (r admission.Request, ok bool) {
 	r = admission.Request{
 		Server: req.GetServer(), Customer: req.GetCustomer(), Priority: int(req.GetPriority()),
-		Wait: time.Duration(req.GetWaitUs()) * time.Microsecond,
+		Transaction: req.GetBeginText() != "",
+		Wait:        time.Duration(req.GetWaitUs()) * time.Microsecond,
 	}
 	if req.GetPrimary() {
 		r.Server = o.s.f.opt.Fleet.View(o.route.Group).Primary
@@ -52,14 +53,15 @@
 	if !ok {
 		return
 	}
+	accepted := true
 	if err != nil {
 		switch verdict.From(err).Reason {
 		case verdict.DeadlineExpected, verdict.DeadlineExceeded, verdict.QueueFull:
-			return
+			accepted = false
 		}
 	}
 	f := o.s.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.throttle.Record(o.now(), r)
+	f.throttle.Record(o.now(), r, accepted)
 }
--- a/internal/frontend/operation.go
+++ b/internal/frontend/operation.go
@@ -56,6 +56,8 @@
 	// waitLimit limits the wait for a slot at the next server; 0 for no other limit than
 	// slotWaitShare.
 	waitLimit time.Duration
+	// mayHaveRun is set when an attempt may have run.
+	mayHaveRun bool
 }
 
 func (s *session) newOperation(st statement.Statement, route config.Route, arrived time.Duration) *operation {
@@ -105,7 +107,8 @@
 
 // callerError returns the error that the client receives for e.
 func (o *operation) callerError(e *verdict.Error) *verdict.Error {
-	if e.Verdict == verdict.NotRun || !o.isReadOnly() || e.Reason == verdict.StatementFailed {
+	hidesAttempt := o.refusedHere && o.mayHaveRun
+	if e.Verdict == verdict.NotRun && !hidesAttempt || !o.isReadOnly() || e.Reason == verdict.StatementFailed {
 		return e
 	}
 	// A read has no effect, so the client can repeat it safely whether or not it ran.
@@ -390,6 +393,7 @@
 	}
 	o.recordAdmission(req, err)
 	if err != nil {
+		o.mayHaveRun = o.mayHaveRun || verdict.From(err).Verdict != verdict.NotRun
 		return nil, err
 	}
 	if p := resp.GetPosition(); resp.GetAuthoritative() && p != nil {
