--- /dev/null
+++ b/internal/budget/listener.go
@@ -0,0 +1,162 @@
+package budget
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+)
+
+// Listener limits the open connections of a listener. When there are too many, it closes
+// the one from which nothing has been read for the longest time, so that connections that
+// stop half-way don't keep others out. With a Budget it also counts what was received and
+// does not yet belong to a complete request, see Conn.Delivered.
+type Listener struct {
+	net.Listener
+	max      int
+	budget   *Budget
+	counters *telemetry.Counters
+	counter  string
+	started  time.Time
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// NewListener wraps a listener. name is the prefix of its counter. budget may be nil.
+func NewListener(l net.Listener, name string, maxConns int, b *Budget, counters *telemetry.Counters) *Listener {
+	return &Listener{
+		Listener: l, max: maxConns, budget: b, counters: counters, counter: name + "_connections_closed",
+		started: time.Now(), conns: map[*Conn]struct{}{},
+	}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{Conn: nc, l: l}
+	c.lastRead.Store(int64(time.Since(l.started)))
+	c.lease = l.budget.Open(addressOwner(nc), func() { _ = nc.Close() })
+	l.mu.Lock()
+	var stalest *Conn
+	if len(l.conns) >= l.max {
+		for o := range l.conns {
+			if stalest == nil || o.lastRead.Load() < stalest.lastRead.Load() {
+				stalest = o
+			}
+		}
+	}
+	l.conns[c] = struct{}{}
+	l.mu.Unlock()
+	if stalest != nil {
+		l.counters.Add(l.counter, 1)
+		_ = stalest.Close()
+	}
+	return c, nil
+}
+
+func addressOwner(nc net.Conn) string { return AddressOwner(nc.RemoteAddr()) }
+
+// AddressOwner returns the owner of a connection whose customer is not known.
+func AddressOwner(a net.Addr) string {
+	host, _, err := net.SplitHostPort(a.String())
+	if err != nil {
+		return a.String()
+	}
+	return host
+}
+
+// Conn is a connection of a Listener.
+type Conn struct {
+	net.Conn
+	l        *Listener
+	lease    *Lease
+	lastRead atomic.Int64
+	// pending is the number of bytes read that no complete request is known to account
+	// for. reservedSteps, which changes under mu only, is how many times pendingStep of
+	// them is reserved.
+	pending       atomic.Int64
+	reservedSteps atomic.Int64
+	mu            sync.Mutex
+	once          sync.Once
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.lastRead.Store(int64(time.Since(c.l.started)))
+		if c.lease == nil {
+			return n, err
+		}
+		c.pending.Add(int64(n))
+		if !c.reserve() {
+			_ = c.Close()
+			return 0, net.ErrClosed
+		}
+	}
+	return n, err
+}
+
+// pendingStep is the step in which pending bytes are reserved.
+const pendingStep = 32 << 10
+
+// reserve adjusts the reservation to the pending bytes. It reports whether there was
+// memory for them.
+func (c *Conn) reserve() bool {
+	step := max(0, c.pending.Load()-pendingStep) / pendingStep
+	if step == c.reservedSteps.Load() {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	step = max(0, c.pending.Load()-pendingStep) / pendingStep
+	change := int(step-c.reservedSteps.Load()) * pendingStep
+	if !c.lease.Reserve(Peers, change) {
+		return false
+	}
+	c.lease.Release(Peers, -change)
+	c.reservedSteps.Store(step)
+	return true
+}
+
+// requestOverheadBytes is the size of the frames and headers of a request that are not
+// part of its message.
+const requestOverheadBytes = 512
+
+// Delivered records that a request of n bytes was received whole.
+func (c *Conn) Delivered(n int) {
+	if c.lease == nil {
+		return
+	}
+	left := c.pending.Add(-int64(n + requestOverheadBytes))
+	if left < 0 {
+		c.pending.CompareAndSwap(left, 0)
+	}
+	c.reserve() // gives back, which never fails
+}
+
+// RemoteAddr implements net.Conn. The address leads back to the connection.
+func (c *Conn) RemoteAddr() net.Addr { return ConnAddr{c.Conn.RemoteAddr(), c} }
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.once.Do(func() {
+		c.l.mu.Lock()
+		delete(c.l.conns, c)
+		c.l.mu.Unlock()
+		c.lease.Close()
+	})
+	return c.Conn.Close()
+}
+
+// ConnAddr is the remote address of a Conn.
+type ConnAddr struct {
+	net.Addr
+	Conn *Conn
+}
--- a/internal/entry/client.go
+++ b/internal/entry/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/budget"
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
@@ -31,9 +32,16 @@
 	protocolMinor uint32
 	// header is the buffer for message headers. It is the only message buffer of an
 	// idle session.
-	header    [headerBytes]byte
-	processID uint32
-	secret    uint32
+	header [headerBytes]byte
+	// lease accounts for the memory that the session needs beyond small buffers. Only the
+	// client's goroutine uses the fields below: reservedInput and reservedStatements are
+	// what the message and the batch hold, reservedState what the prepared statements
+	// hold, and addedState bounds what was added to them since.
+	lease                             *budget.Lease
+	reservedInput, reservedStatements int
+	reservedState, addedState         int
+	processID                         uint32
+	secret                            uint32
 	// routeName never changes; the client's goroutine refreshes route from the
 	// configuration in force.
 	routeName string
@@ -90,6 +98,8 @@
 			err = c.handleMessage(typ, body)
 			releaseBody(body)
 		}
+		c.lease.Release(budget.Input, c.reservedInput)
+		c.reservedInput = 0
 		c.setHandlingMessage(false)
 		if err != nil {
 			c.sendFinalError(err)
@@ -156,6 +166,7 @@
 		x.cancelStream()
 	}
 	_ = c.conn.Close()
+	c.lease.Close()
 	c.entry.sessions.remove(c)
 }
 
@@ -167,6 +178,7 @@
 		return 0, nil, err
 	}
 	c.setHandlingMessage(true)
+	c.lease.SetBusy(true)
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.entry.opts.ClientTimeout))
 	if _, err := io.ReadFull(c.conn, header[1:]); err != nil {
 		return 0, nil, c.incompleteMessageError(err)
@@ -178,7 +190,10 @@
 	if size > maxMessageBytes {
 		return 0, nil, verdict.New(c.unfinishedRequestVerdict(), verdict.MessageTooBig, "message of %d bytes is over the limit of %d", size, maxMessageBytes)
 	}
-	if body, err = readBody(c.conn, size); err != nil {
+	if body, err = c.readBody(c.conn, size); err != nil {
+		if refusal, ok := asVerdictError(err); ok {
+			return 0, nil, refusal
+		}
 		return 0, nil, c.incompleteMessageError(err)
 	}
 	return header[0], body, nil
@@ -186,7 +201,7 @@
 
 // readBody reads a message body of size bytes. For a large body, memory is
 // allocated as the bytes arrive, so that a header alone cannot claim the full size.
-func readBody(r io.Reader, size int) ([]byte, error) {
+func (c *client) readBody(r io.Reader, size int) ([]byte, error) {
 	if size <= pooledBodyBytes {
 		body := (*bodyPool.Get().(*[]byte))[:size]
 		_, err := io.ReadFull(r, body)
@@ -199,6 +214,10 @@
 	for len(body) < size {
 		filled := len(body)
 		newLen := min(size, max(initialBodyBytes, 2*filled))
+		if newLen > budget.SmallBytes && !c.lease.Reserve(budget.Input, newLen-c.reservedInput) {
+			return nil, verdict.New(c.unfinishedRequestVerdict(), verdict.MemoryLimit, "no memory for a message of %d bytes; try again", size)
+		}
+		c.reservedInput = max(c.reservedInput, newLen)
 		body = slices.Grow(body, newLen-filled)[:newLen]
 		if _, err := io.ReadFull(r, body[filled:]); err != nil {
 			return nil, err
@@ -325,7 +344,13 @@
 		c.mu.Unlock()
 		return c.lostReason
 	}
-	step, refusal := c.machine.ProcessClientMessage(typ, body)
+	var step session.Step
+	refusal := c.reserveMessage(typ, len(body))
+	if refusal == nil {
+		step, refusal = c.machine.ProcessClientMessage(typ, body)
+	} else {
+		step, refusal = c.machine.RefuseMessage(typ, body, refusal)
+	}
 	if refusal != nil {
 		reply := c.machine.Refuse(refusal, typ == 'Q' || typ == 'S')
 		c.mu.Unlock()
@@ -334,6 +359,7 @@
 	}
 	if step.End {
 		c.awaitingReady = true
+		defer c.releaseBatch()
 	}
 	c.mu.Unlock()
 	switch {
@@ -352,6 +378,48 @@
 	return nil
 }
 
+// statementCopies is the number of copies of a message that are held at once until its
+// batch is answered: as collected, in the message to the home host and there.
+const statementCopies = 3
+
+// reserveMessage reserves what a message makes the session hold beyond its read buffer,
+// until the batch ends, and for a Parse as long as the statement exists. The caller holds
+// mu. Copy data is sent on before the next message is read.
+func (c *client) reserveMessage(typ byte, size int) *verdict.Error {
+	if typ == 'd' {
+		return nil
+	}
+	if size > budget.SmallBytes {
+		if !c.lease.Reserve(budget.Statements, statementCopies*size) {
+			return verdict.New(verdict.NotRun, verdict.MemoryLimit, "no memory for a statement of this size; try again")
+		}
+		c.reservedStatements += statementCopies * size
+	}
+	if typ != 'P' {
+		return nil
+	}
+	if c.addedState += size; c.addedState <= budget.SmallBytes {
+		return nil
+	}
+	want := c.machine.StatementBytes() + size
+	if !c.lease.Reserve(budget.State, want-c.reservedState) {
+		return verdict.New(verdict.NotRun, verdict.MemoryLimit, "no memory for more prepared statements of this session")
+	}
+	c.lease.Release(budget.State, c.reservedState-want)
+	c.reservedState, c.addedState = want, 0
+	return nil
+}
+
+// releaseBatch gives back what the statements of the batch held.
+func (c *client) releaseBatch() {
+	c.lease.Release(budget.Statements, c.reservedStatements)
+	c.reservedStatements = 0
+	c.mu.Lock()
+	idle := c.machine.Status() == session.StatusIdle
+	c.mu.Unlock()
+	c.lease.SetBusy(!idle)
+}
+
 // forwardCollected sends the collected frontend bytes to the home host. It opens an
 // exchange if none is open.
 func (c *client) forwardCollected(batchEnded bool) error {
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/budget"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
@@ -71,6 +72,8 @@
 	CancelForwarder CancelForwarder
 	Counters        *telemetry.Counters
 	Logger          *log.Logger
+	// Budget bounds the memory of clients; nil for no bound.
+	Budget *budget.Budget
 	// MaxClients limits the number of sessions of this host; 0 selects the default.
 	MaxClients int
 	// IdleTransactionTimeout is the longest time that a client may be idle within a
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -15,6 +15,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/budget"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/session"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -44,6 +45,7 @@
 	setSocketOptions(conn)
 	_ = conn.SetDeadline(time.Now().Add(min(loginTimeout, e.opts.ClientTimeout)))
 	c := &client{entry: e, conn: conn}
+	c.lease = e.opts.Budget.Open(budget.AddressOwner(conn.RemoteAddr()), func() { _ = conn.Close() })
 	c.stateChanged = sync.NewCond(&c.mu)
 	stopCloseOnCancel := context.AfterFunc(e.sessionCtx, func() { _ = conn.Close() })
 	defer stopCloseOnCancel()
@@ -197,6 +199,7 @@
 		return verdict.New(verdict.NotRun, verdict.TooManyClients, "the host has reached its limit of %d clients", e.opts.MaxClients)
 	}
 	c.registered = true
+	c.lease.SetOwner(c.customer)
 	return c.sendStartupResponse(m.Parameters)
 }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"container/list"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -9,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/budget"
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/internal/freshness"
@@ -43,8 +45,10 @@
 type Options struct {
 	Listener net.Listener
 	// NewClient wraps an accepted connection in its client protocol.
-	NewClient func(net.Conn) statement.Client
-	Snapshot  func() *catalog.Snapshot
+	NewClient func(net.Conn, *budget.Lease) statement.Client
+	// Budget bounds the memory of clients; nil for no bound.
+	Budget   *budget.Budget
+	Snapshot func() *catalog.Snapshot
 	// KeysFresh reports whether the configuration was confirmed recently enough to
 	// accept keys, and how long ago it was confirmed.
 	KeysFresh func() (fresh bool, age time.Duration)
@@ -84,8 +88,12 @@
 type Frontend struct {
 	opt Options
 
-	mu          sync.Mutex
-	sessions    map[*session]struct{}
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	// starting holds the sessions without a first message, oldest first, and byCustomer
+	// the number of accepted sessions of each customer.
+	starting    *list.List
+	byCustomer  map[string]int
 	balancer    *routing.Balancer
 	retryBudget *routing.RetryBudget
 	samples     *freshness.Samples
@@ -98,7 +106,7 @@
 // New returns a Frontend that accepts sessions once Run is called.
 func New(opt Options) *Frontend {
 	return &Frontend{
-		opt: opt, sessions: map[*session]struct{}{}, samples: freshness.New(),
+		opt: opt, sessions: map[*session]struct{}{}, starting: list.New(), byCustomer: map[string]int{}, samples: freshness.New(),
 		balancer:    routing.NewBalancer(rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0))),
 		retryBudget: routing.NewRetryBudget(),
 	}
@@ -121,15 +129,23 @@
 	}
 }
 
+const (
+	// startingShare is the share of MaxClients that may be connected without having sent
+	// their first message. The oldest ones are closed for new ones.
+	startingShare = 0.25
+	// customerShare is the share of MaxClients that one customer's sessions may take.
+	customerShare = 0.75
+)
+
 func (f *Frontend) serve(conn net.Conn) {
-	s := newSession(f, f.opt.NewClient(conn))
-	f.mu.Lock()
-	limitReached := len(f.sessions) >= f.opt.MaxClients
-	if !limitReached {
-		f.sessions[s] = struct{}{}
+	lease := f.opt.Budget.Open(budget.AddressOwner(conn.RemoteAddr()), func() { _ = conn.Close() })
+	s := newSession(f, f.opt.NewClient(conn, lease), lease)
+	stalest, ok := f.register(s)
+	if stalest != nil {
+		f.opt.Counters.Add("starting_sessions_closed", 1)
+		stalest.client.Close()
 	}
-	f.mu.Unlock()
-	if limitReached {
+	if !ok {
 		f.opt.Counters.CountRefusal(verdict.TooManyClients)
 		s.client.Close()
 		return
@@ -138,14 +154,69 @@
 	go func() {
 		defer func() {
 			s.client.Close()
-			f.mu.Lock()
-			delete(f.sessions, s)
-			f.mu.Unlock()
+			s.lease.Close()
+			f.unregister(s)
 		}()
 		s.serve()
 	}()
 }
 
+// register adds a new session, unless there are too many. stalest is the session that has
+// to be closed for it, or nil.
+func (f *Frontend) register(s *session) (stalest *session, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	full := len(f.sessions) >= f.opt.MaxClients
+	if oldest := f.starting.Front(); oldest != nil && (full || f.starting.Len() >= f.share(startingShare)) {
+		stalest = f.starting.Remove(oldest).(*session)
+		stalest.startingEntry = nil
+		full = false
+	}
+	if full {
+		return nil, false
+	}
+	f.sessions[s] = struct{}{}
+	s.startingEntry = f.starting.PushBack(s)
+	return stalest, true
+}
+
+// share returns a share of MaxClients.
+func (f *Frontend) share(of float64) int { return max(1, int(of*float64(f.opt.MaxClients))) }
+
+// accept counts the session as one of its customer. It reports whether the customer may
+// have another one.
+func (f *Frontend) accept(s *session) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.removeStarting(s)
+	if f.byCustomer[s.customer] >= f.share(customerShare) {
+		return false
+	}
+	f.byCustomer[s.customer]++
+	s.countedAs = s.customer
+	return true
+}
+
+func (f *Frontend) removeStarting(s *session) {
+	if s.startingEntry != nil {
+		f.starting.Remove(s.startingEntry)
+		s.startingEntry = nil
+	}
+}
+
+func (f *Frontend) unregister(s *session) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.sessions, s)
+	f.removeStarting(s)
+	if s.countedAs == "" {
+		return
+	}
+	if f.byCustomer[s.countedAs]--; f.byCustomer[s.countedAs] == 0 {
+		delete(f.byCustomer, s.countedAs)
+	}
+}
+
 // Observe adds a sample of the log position of a group: every commit acknowledged
 // before at is at or before p, see freshness.Samples.
 func (f *Frontend) Observe(group string, at time.Duration, p statement.Position) {
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -219,7 +219,7 @@
 
 func (x *fixture) open(route string) *fakeClient {
 	c := &fakeClient{start: statement.Start{Route: route, Key: "key"}, in: make(chan statement.Statement, 4), out: make(chan statement.Result, 4), interrupts: make(chan struct{}, 1), opened: make(chan struct{})}
-	s := newSession(x.f, c)
+	s := newSession(x.f, c, nil)
 	done := make(chan struct{})
 	go func() { s.serve(); close(done); close(c.out) }()
 	<-c.opened
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -1,13 +1,16 @@
 package frontend
 
 import (
+	"container/list"
 	"context"
 	"io"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/budget"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/guard"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
@@ -32,6 +35,16 @@
 	// customer is the customer whose key opened the session.
 	customer string
 
+	lease *budget.Lease
+	// startingEntry and countedAs are guarded by the lock of the Frontend: the place among
+	// the sessions without a first message, and the customer that the session counts for.
+	startingEntry *list.Element
+	countedAs     string
+
+	// stateBytes is the size of values and prepared, valueBytes that of values.
+	// reservedBytes is what is reserved for them.
+	stateBytes, valueBytes, reservedBytes int
+
 	values   map[string]string
 	prepared map[string]statement.Shape
 	tx       *transaction
@@ -60,9 +73,9 @@
 	mayHaveRun bool
 }
 
-func newSession(f *Frontend, c statement.Client) *session {
+func newSession(f *Frontend, c statement.Client, lease *budget.Lease) *session {
 	return &session{
-		f: f, client: c, values: map[string]string{}, prepared: map[string]statement.Shape{}, lastCommits: map[string]statement.Position{},
+		f: f, client: c, lease: lease, values: map[string]string{}, prepared: map[string]statement.Shape{}, lastCommits: map[string]statement.Position{},
 	}
 }
 
@@ -129,6 +142,13 @@
 		_ = s.client.Refuse(refused)
 		return false
 	}
+	if !s.f.accept(s) {
+		refused := verdict.New(verdict.NotRun, verdict.TooManyClients, "customer %s has too many sessions at this host", s.customer)
+		s.recordRefusal(statement.Statement{}, refused)
+		_ = s.client.Refuse(refused)
+		return false
+	}
+	s.lease.SetOwner(s.customer)
 	return s.client.Accept() == nil
 }
 
@@ -218,14 +238,16 @@
 func (s *session) handleStatement(st statement.Statement) bool {
 	arrived := s.f.opt.Clock()
 	s.client.SetDeadline(time.Time{})
+	s.lease.SetBusy(true)
 	r, closeAfter := s.executeStatement(st, arrived)
 	r.State = s.state()
 	if r.Err != nil {
 		s.recordRefusal(st, r.Err)
 	}
-	if err := s.client.Answer(r); err != nil || closeAfter {
+	if err := s.answer(r); err != nil || closeAfter {
 		return false
 	}
+	s.lease.SetBusy(s.tx != nil)
 	if s.tx != nil {
 		// The idle time starts when the result was sent.
 		s.tx.lastUsed = s.f.opt.Clock()
@@ -283,30 +305,105 @@
 	return s.protocolViolation("the transaction has failed; only commit and rollback are accepted")
 }
 
+// answer sends a result to the client. A large one is held until the client has read it.
+func (s *session) answer(r statement.Result) error {
+	size := 0
+	for _, row := range r.Rows {
+		size += len(row)
+	}
+	if size > budget.SmallBytes {
+		if !s.lease.Reserve(budget.Answers, size) {
+			return errAnswerNotHeld
+		}
+		defer s.lease.Release(budget.Answers, size)
+	}
+	return s.client.Answer(r)
+}
+
+var errAnswerNotHeld = errors.New("no memory to hold the answer until the client has read it")
+
+// resizeState changes the size of the session's values and prepared statements. It
+// reports whether there is memory for it.
+func (s *session) resizeState(delta int) bool {
+	want := s.stateBytes + delta
+	if want <= budget.SmallBytes {
+		want = 0
+	}
+	if !s.lease.Reserve(budget.State, want-s.reservedBytes) {
+		return false
+	}
+	s.lease.Release(budget.State, s.reservedBytes-want)
+	s.reservedBytes = want
+	s.stateBytes += delta
+	return true
+}
+
+func stateLimitReached() statement.Result {
+	return statement.Result{Err: verdict.New(verdict.NotRun, verdict.MemoryLimit, "no memory for more values and prepared statements of this session")}
+}
+
 func (s *session) set(st statement.Statement) statement.Result {
-	if _, ok := s.values[st.Name]; !ok && len(s.values) >= maxSessionEntries {
+	old, ok := s.values[st.Name]
+	if !ok && len(s.values) >= maxSessionEntries {
 		return s.protocolViolation("the session has too many values")
 	}
-	s.values[st.Name] = st.Arguments
+	delta := len(st.Arguments) - len(old)
+	if !ok {
+		delta += len(st.Name)
+	}
+	if !s.resizeState(delta) {
+		return stateLimitReached()
+	}
+	s.valueBytes += delta
+	// The copies do not keep the whole message.
+	s.values[strings.Clone(st.Name)] = strings.Clone(st.Arguments)
 	return statement.Result{}
 }
 
 func (s *session) prepare(st statement.Statement) statement.Result {
-	if _, ok := s.prepared[st.Name]; !ok && len(s.prepared) >= maxSessionEntries {
+	old, ok := s.prepared[st.Name]
+	if !ok && len(s.prepared) >= maxSessionEntries {
 		return s.protocolViolation("the session has too many prepared statements")
 	}
-	s.prepared[st.Name] = st.Shape
+	delta := len(st.Shape.Text) - len(old.Text)
+	if !ok {
+		delta += len(st.Name)
+	}
+	if !s.resizeState(delta) {
+		return stateLimitReached()
+	}
+	st.Shape.Text = strings.Clone(st.Shape.Text)
+	s.prepared[strings.Clone(st.Name)] = st.Shape
 	return statement.Result{}
 }
 
 func (s *session) deallocate(st statement.Statement) statement.Result {
-	if _, ok := s.prepared[st.Name]; !ok {
+	old, ok := s.prepared[st.Name]
+	if !ok {
 		return s.unknownPreparedStatement(st)
 	}
+	s.resizeState(-len(old.Text) - len(st.Name))
 	delete(s.prepared, st.Name)
 	return statement.Result{}
 }
 
+// statementCopies is the number of copies of a statement and of the session's values that
+// are held at once while it runs: as received, in the message to the home host, and in the
+// output buffer of the connection while it grows.
+const statementCopies = 4
+
+// reserveStatement reserves the memory of a statement under way. release gives it back.
+func (s *session) reserveStatement(st statement.Statement) (release func(), refused *verdict.Error) {
+	size := len(st.Text) + len(st.Shape.Text) + s.valueBytes
+	if size <= budget.SmallBytes {
+		return func() {}, nil
+	}
+	if !s.lease.Reserve(budget.Statements, statementCopies*size) {
+		return nil, verdict.New(verdict.NotRun, verdict.MemoryLimit, "no memory for a statement of this size; try again")
+	}
+	return func() { s.lease.Release(budget.Statements, statementCopies*size) }, nil
+}
+
 func (s *session) unknownPreparedStatement(st statement.Statement) statement.Result {
 	s.failTransaction()
 	return statement.Result{Err: verdict.New(verdict.NotRun, verdict.UnknownStatement, "no prepared statement %q", st.Name)}
@@ -372,6 +469,12 @@
 		}
 		st.Shape = shape
 	}
+	release, refused := s.reserveStatement(st)
+	if refused != nil {
+		s.failTransaction()
+		return statement.Result{Err: refused}
+	}
+	defer release()
 	if s.tx != nil {
 		r := s.runInTransaction(st, arrived)
 		if r.Err != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/budget"
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/internal/customer"
@@ -38,16 +39,11 @@
 const (
 	// rowSpace is the store space that holds the host and role rows.
 	rowSpace = "cranberryhinge"
-	// memoryLimitRatio is the share of the process's memory limit that is set as
-	// the soft limit of the Go runtime. The rest is for buffers of the kernel and
-	// the C library.
-	memoryLimitRatio = 0.7
 	// reservedDescriptors is the number of file descriptors kept for the listeners
 	// and for connections to the store, other hosts and backend servers.
 	reservedDescriptors = 1200
-	// headerTimeout limits how long a request to the readiness or metrics endpoint
-	// may take to send its headers.
-	headerTimeout = 2 * time.Second
+	// maxHeaderBytes limits the headers of a request to the ready and metrics ports.
+	maxHeaderBytes = 8 << 10
 	// roleHandoverTimeout limits the wait for other hosts to take over the roles.
 	roleHandoverTimeout = 1500 * time.Millisecond
 	// inFlightTimeout limits two waits at a stop: for open transactions of other
@@ -74,7 +70,7 @@
 	Watcher   store.Watcher
 	Sources   catalog.Sources
 	Dialer    statement.Dialer
-	NewClient func(net.Conn) statement.Client
+	NewClient func(net.Conn, *budget.Lease) statement.Client
 	Promoter  failover.Promoter
 	// ReadyPath is the URL path of the readiness probe.
 	ReadyPath string
@@ -99,6 +95,7 @@
 	limiter   *limit.Limiter
 	peerCalls *peerCalls
 	grpc      *grpc.Server
+	budget    *budget.Budget
 	listeners [4]net.Listener
 	readyPath string
 	stopping  atomic.Bool
@@ -112,6 +109,8 @@
 	metricsListener
 )
 
+var listenerNames = [...]string{"client", "peer", "ready", "metrics"}
+
 // New checks the settings, opens the listeners and assembles the components. Run
 // starts them. Log lines go to out.
 func New(s Settings, a Adapters, out io.Writer) (*Host, error) {
@@ -150,6 +149,15 @@
 		Capacity: h.settings.capacity(),
 	}
 	latencies := telemetry.NewLatencies(h.counters)
+	limits := h.settings.ClientLimits.WithDefaults()
+	h.budget = budget.New(h.memoryBytes(), h.clock, h.log, h.counters)
+	for i, max := range map[int]int{readyListener: limits.HTTPConnections, metricsListener: limits.HTTPConnections, peerListener: limits.PeerConnections} {
+		var b *budget.Budget
+		if i == peerListener {
+			b = h.budget
+		}
+		h.listeners[i] = budget.NewListener(h.listeners[i], listenerNames[i], max, b, h.counters)
+	}
 	h.directory = &directory{
 		self: self, zones: h.settings.Zones, clock: h.clock,
 		views: map[string]cachedView{}, primaries: map[string]reportedPrimary{},
@@ -193,11 +201,12 @@
 		Listener: h.listeners[clientListener], NewClient: a.NewClient, Snapshot: h.catalog.Snapshot, KeysFresh: h.catalog.KeysFresh,
 		Fleet: h.peerCalls, Limiter: h.limiter, Clock: h.clock, Log: h.log, Counters: h.counters,
 		Latencies: latencies, Loads: h.peerCalls.loads,
-		MaxClients: max(h.settings.Descriptors-reservedDescriptors, 1), AbortAfter: h.settings.StopGrace.Std()/2 + stopMargin/4,
+		MaxClients: max(min(h.settings.Descriptors-reservedDescriptors, budget.MaxConnections(h.memoryBytes())), 1),
+		Budget:     h.budget, AbortAfter: h.settings.StopGrace.Std()/2 + stopMargin/4,
 	})
 	h.peerCalls.frontend = h.frontend
-	h.grpc = grpc.NewServer(peer.ServerOptions(nil)...)
-	peerpb.RegisterPeerServer(h.grpc, peerAPI{calls: h.peerCalls, minters: h.minters})
+	h.grpc = grpc.NewServer(peer.ServerOptions(nil, peer.MaxTypedMessageBytes)...)
+	peerpb.RegisterPeerServer(h.grpc, peerAPI{calls: h.peerCalls, minters: h.minters, budget: h.budget})
 }
 
 // Run serves until ctx ends and then performs the planned stop. It returns an
@@ -275,9 +284,12 @@
 // applyReloadable puts the settings into force that a reload can change.
 func (h *Host) applyReloadable() {
 	h.log.SetLevel(log.ParseLevel(h.settings.LogLevel))
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(h.settings.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(int64(budget.RuntimeShare * float64(h.memoryBytes())))
+	h.budget.SetMemory(h.memoryBytes())
 }
 
+func (h *Host) memoryBytes() int64 { return int64(h.settings.MemoryMB) << 20 }
+
 // Ready reports whether callers should be routed to this host.
 func (h *Host) Ready() bool {
 	fresh, _ := h.catalog.KeysFresh()
@@ -294,7 +306,11 @@
 	metrics := http.NewServeMux()
 	metrics.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, h.counters.String()) })
 	for i, handler := range map[int]http.Handler{readyListener: ready, metricsListener: metrics} {
-		srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		limits := h.settings.ClientLimits.WithDefaults()
+		srv := &http.Server{
+			Handler: handler, ReadTimeout: limits.HTTPRequest.Std(), WriteTimeout: 2 * limits.HTTPRequest.Std(),
+			IdleTimeout: limits.HTTPIdle.Std(), MaxHeaderBytes: maxHeaderBytes,
+		}
 		wg.Go(func() {
 			if err := srv.Serve(h.listeners[i]); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 				serveErrors <- errors.Wrap(err, "HTTP listener")
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -11,7 +11,9 @@
 	"google.golang.org/grpc/codes"
 	grpcpeer "google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/budget"
 	"github.com/cranberryhinge/cranberryhinge/internal/executor"
 	"github.com/cranberryhinge/cranberryhinge/internal/failover"
 	"github.com/cranberryhinge/cranberryhinge/internal/frontend"
@@ -120,12 +122,17 @@
 	return client.Grant(ctx, req)
 }
 
+// statementCopies is the number of copies of a statement that its home host holds: in the
+// request and in the output buffer of the connection to the backend server while it grows.
+const statementCopies = 3
+
 // peerAPI serves the calls of other hosts. The calls that belong to the
 // PostgreSQL protocol stay unimplemented.
 type peerAPI struct {
 	peerpb.UnimplementedPeerServer
 	calls   *peerCalls
 	minters grantServer
+	budget  *budget.Budget
 }
 
 // grantServer serves requests for rate limit tokens.
@@ -134,6 +141,16 @@
 }
 
 func (a peerAPI) Execute(ctx context.Context, req *peerpb.ExecuteRequest) (*peerpb.ExecuteResponse, error) {
+	size := proto.Size(req)
+	if size <= budget.SmallBytes {
+		return a.calls.executor.Execute(ctx, req), nil
+	}
+	lease := a.budget.Open(req.GetCustomer(), nil)
+	defer lease.Close()
+	if !lease.Reserve(budget.Statements, statementCopies*size) {
+		e := verdict.New(verdict.NotRun, verdict.MemoryLimit, "the home host has no memory for a statement of this size; try again")
+		return &peerpb.ExecuteResponse{Failure: peer.EncodeFailure(e)}, nil
+	}
 	return a.calls.executor.Execute(ctx, req), nil
 }
 
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"maps"
 	"net"
 	"os"
@@ -52,6 +53,50 @@
 	// Requirements names, in the platform's words, what the deployment asks of its hosts.
 	// The platform adapter translates them to Features.
 	Requirements []string `yaml:"requirements,omitempty"`
+	// ClientLimits bound what clients and callers of the other ports may begin without
+	// ending it.
+	ClientLimits ClientLimits `yaml:"client_limits,omitempty"`
+}
+
+// ClientLimits are time-outs for what a client has begun, and limits on connections. A
+// value of 0 selects the default.
+type ClientLimits struct {
+	// FirstMessage is the time from the connection to the end of the first message,
+	// Message the time from the first to the last byte of any message, Answer the time
+	// that the client may take to read a part of an answer.
+	FirstMessage config.Duration `yaml:"first_message,omitempty"`
+	Message      config.Duration `yaml:"message,omitempty"`
+	Answer       config.Duration `yaml:"answer,omitempty"`
+	// HTTPRequest bounds one request to the ready and metrics ports and its answer,
+	// HTTPIdle the time between two requests on one connection. HTTPConnections limits
+	// the connections of each of these ports.
+	HTTPRequest     config.Duration `yaml:"http_request,omitempty"`
+	HTTPIdle        config.Duration `yaml:"http_idle,omitempty"`
+	HTTPConnections int             `yaml:"http_connections,omitempty"`
+	// PeerConnections limits the connections of the peer port.
+	PeerConnections int `yaml:"peer_connections,omitempty"`
+}
+
+// defaultClientLimits are longer than anything that a client takes within the limits of
+// the protocol.
+var defaultClientLimits = ClientLimits{
+	FirstMessage: config.Duration(3 * time.Second), Message: config.Duration(3 * time.Second), Answer: config.Duration(5 * time.Second),
+	HTTPRequest: config.Duration(2 * time.Second), HTTPIdle: config.Duration(30 * time.Second), HTTPConnections: 64, PeerConnections: 1000,
+}
+
+// WithDefaults returns the limits with the defaults for values that are not set.
+func (l ClientLimits) WithDefaults() ClientLimits {
+	d := defaultClientLimits
+	return ClientLimits{
+		FirstMessage: cmp.Or(l.FirstMessage, d.FirstMessage), Message: cmp.Or(l.Message, d.Message), Answer: cmp.Or(l.Answer, d.Answer),
+		HTTPRequest: cmp.Or(l.HTTPRequest, d.HTTPRequest), HTTPIdle: cmp.Or(l.HTTPIdle, d.HTTPIdle),
+		HTTPConnections: cmp.Or(l.HTTPConnections, d.HTTPConnections), PeerConnections: cmp.Or(l.PeerConnections, d.PeerConnections),
+	}
+}
+
+// hasNegative reports whether a limit is negative.
+func (l ClientLimits) hasNegative() bool {
+	return min(l.FirstMessage, l.Message, l.Answer, l.HTTPRequest, l.HTTPIdle) < 0 || min(l.HTTPConnections, l.PeerConnections) < 0
 }
 
 // Features are the optional parts of a host. Each is off unless the deployment asks for
@@ -139,6 +184,8 @@
 		return errors.New("settings processor_share and link_mbps must be positive")
 	case !slices.Contains(logLevels, s.LogLevel):
 		return errors.Errorf("setting log_level: %q is not one of %s", s.LogLevel, strings.Join(logLevels, ", "))
+	case s.ClientLimits.hasNegative():
+		return errors.New("settings client_limits must not be negative")
 	case s.MemoryMB <= 0 || s.Descriptors <= 0 || s.Cores <= 0:
 		return errors.New("settings memory_mb, descriptors and cores must be positive")
 	}
--- a/internal/host/settings_test.go
+++ b/internal/host/settings_test.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/budget"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 )
 
@@ -84,7 +85,7 @@
 	x.reloadText(t, "log_level: info", "log_level: debug")
 	assert.Equal(t, x.log.Level, log.DebugLevel)
 	x.reloadText(t, "memory_mb: 284", "memory_mb: 300")
-	assert.Equal(t, debug.SetMemoryLimit(-1), int64(memoryLimitRatio*float64(300)*(1<<20)))
+	assert.Equal(t, debug.SetMemoryLimit(-1), int64(budget.RuntimeShare*float64(300)*(1<<20)))
 	assert.Equal(t, x.counters.Get("settings_reload_refused"), int64(0))
 }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -12,7 +12,10 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	grpcpeer "google.golang.org/grpc/peer"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/budget"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 )
 
@@ -35,9 +38,9 @@
 	// bufferBytes is the size of the read buffer of a connection, and of the write
 	// buffer while it is in use. Most messages have a few hundred bytes.
 	bufferBytes = 8 << 10
-	// maxMessageBytes is larger than the largest accepted frontend message of a
+	// MaxMessageBytes is larger than the largest accepted frontend message of a
 	// client.
-	maxMessageBytes = 20 << 20
+	MaxMessageBytes = 20 << 20
 )
 
 // Pool keeps one gRPC connection to each peer. It opens a connection on first use;
@@ -89,7 +92,7 @@
 			PermitWithoutStream: true,
 		}),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: delay, MinConnectTimeout: dialTimeout}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithIdleTimeout(idleTimeout),
@@ -129,8 +132,23 @@
 // Close closes every connection.
 func (p *Pool) Close() { p.Retain(nil) }
 
-// ServerOptions returns the options for a gRPC server that peers connect to.
-func ServerOptions(creds credentials.TransportCredentials) []grpc.ServerOption {
+// Limits of what other hosts, or anyone who reaches the peer port, may begin.
+const (
+	// MaxTypedMessageBytes is larger than the largest message between hosts that serve
+	// typed statements: the rows of the store that a heartbeat carries, or a statement with
+	// the values of its session.
+	MaxTypedMessageBytes = 8 << 20
+	// handshakeTimeout bounds the set-up of a connection from another host.
+	handshakeTimeout = 3 * time.Second
+	// maxStreams limits the calls under way on one connection from another host.
+	maxStreams = 4096
+	// maxHeaderListBytes limits the headers of one call.
+	maxHeaderListBytes = 16 << 10
+)
+
+// ServerOptions returns the options for a gRPC server that peers connect to, for messages
+// of up to maxMessage bytes.
+func ServerOptions(creds credentials.TransportCredentials, maxMessage int) []grpc.ServerOption {
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
@@ -138,9 +156,44 @@
 		grpc.Creds(creds),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepAliveInterval, Timeout: keepAliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAliveInterval / 2, PermitWithoutStream: true}),
-		grpc.MaxRecvMsgSize(maxMessageBytes),
-		grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.MaxSendMsgSize(MaxMessageBytes),
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.MaxHeaderListSize(maxHeaderListBytes),
+		grpc.UnaryInterceptor(func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+			recordDelivered(ctx, req)
+			return handler(ctx, req)
+		}),
+		grpc.StreamInterceptor(func(srv any, s grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
+			return handler(srv, deliveredStream{s})
+		}),
+	}
+}
+
+// recordDelivered records at the connection of a call that a message was received whole.
+func recordDelivered(ctx context.Context, message any) {
+	p, ok := grpcpeer.FromContext(ctx)
+	if !ok {
+		return
+	}
+	if a, ok := p.Addr.(budget.ConnAddr); ok {
+		if m, ok := message.(proto.Message); ok {
+			a.Conn.Delivered(proto.Size(m))
+		}
+	}
+}
+
+// deliveredStream records the messages that a stream has received.
+type deliveredStream struct{ grpc.ServerStream }
+
+// RecvMsg implements grpc.ServerStream.
+func (s deliveredStream) RecvMsg(m any) error {
+	err := s.ServerStream.RecvMsg(m)
+	if err == nil {
+		recordDelivered(s.Context(), m)
 	}
+	return err
 }
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -139,7 +139,7 @@
 	if err != nil {
 		return 0, 0, errors.Wrap(err, "listen for exchanges")
 	}
-	srv := grpc.NewServer(peer.ServerOptions(nil)...)
+	srv := grpc.NewServer(peer.ServerOptions(nil, peer.MaxMessageBytes)...)
 	peerpb.RegisterPeerServer(srv, exchangeServer{response: response})
 	go func() { _ = srv.Serve(listener) }()
 	defer srv.Stop()
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -15,9 +15,14 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 )
 
-// adminTimeout bounds both reading a request's header and shutting the listener
-// down.
-const adminTimeout = 5 * time.Second
+const (
+	// adminTimeout bounds both reading a request and shutting the listener down.
+	adminTimeout = 5 * time.Second
+	// adminAnswerTimeout bounds an answer; a processor profile takes 30 s by default.
+	adminAnswerTimeout = time.Minute
+	// maxAdminHeaderBytes limits the headers of a request.
+	maxAdminHeaderBytes = 8 << 10
+)
 
 // statusSource provides the host's status and readiness to the admin listener.
 type statusSource interface {
@@ -53,7 +58,10 @@
 
 // serveAdmin serves handler until ctx ends, then shuts down within adminTimeout.
 func serveAdmin(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	srv := &http.Server{Handler: handler, ReadHeaderTimeout: adminTimeout}
+	srv := &http.Server{
+		Handler: handler, ReadTimeout: adminTimeout, WriteTimeout: adminAnswerTimeout, IdleTimeout: adminAnswerTimeout,
+		MaxHeaderBytes: maxAdminHeaderBytes,
+	}
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,8 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/budget"
+	"github.com/cranberryhinge/cranberryhinge/internal/clock"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/customer"
 	"github.com/cranberryhinge/cranberryhinge/internal/entry"
@@ -66,6 +69,7 @@
 	listeners listeners
 	closers   []io.Closer
 	draining  atomic.Bool
+	budget    *budget.Budget
 }
 
 type listeners struct{ client, peer, admin net.Listener }
@@ -83,6 +87,13 @@
 		log:      telemetry.NewLogger(opts.LogWriter, settings.LogLevel, settings.Name),
 		counters: telemetry.NewCounters(),
 	}
+	memory := budget.ProcessMemory()
+	if s.settings.MemoryMB > 0 {
+		memory = int64(s.settings.MemoryMB) << 20
+		debug.SetMemoryLimit(int64(budget.RuntimeShare * float64(memory)))
+	}
+	s.budget = budget.New(memory, clock.Boot, s.log, s.counters)
+	s.settings.Client.MaxClients = min(s.settings.Client.MaxClients, budget.MaxConnections(memory))
 	if err := s.assemble(opts); err != nil {
 		s.close()
 		return nil, err
@@ -109,11 +120,17 @@
 		}
 	}
 	s.connectShells(services, peerCreds, clientTLS, opts)
-	s.grpc = grpc.NewServer(peer.ServerOptions(peerCreds)...)
+	s.grpc = grpc.NewServer(peer.ServerOptions(peerCreds, peer.MaxMessageBytes)...)
 	peerpb.RegisterPeerServer(s.grpc, peerAPI{server: s})
 	return nil
 }
 
+// Limits of the connections of the peer and admin ports.
+const (
+	maxPeerConnections  = 1000
+	maxAdminConnections = 64
+)
+
 func (s *Server) listen() error {
 	for _, l := range []struct {
 		address string
@@ -130,6 +147,12 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", l.address)
 		}
+		switch l.target {
+		case &s.listeners.peer:
+			listener = budget.NewListener(listener, "peer", maxPeerConnections, s.budget, s.counters)
+		case &s.listeners.admin:
+			listener = budget.NewListener(listener, "admin", maxAdminConnections, nil, s.counters)
+		}
 		*l.target = listener
 		s.closers = append(s.closers, listener)
 	}
@@ -173,7 +196,7 @@
 func (s *Server) connectShells(services store.Services, creds credentials.TransportCredentials, clientTLS *tls.Config, opts Options) {
 	dial := opts.Dial
 	start := time.Now()
-	clock := func() time.Duration { return time.Since(start) }
+	sinceStart := func() time.Duration { return time.Since(start) }
 	s.pool = peer.NewPool(creds, dial)
 	backend, control := s.settings.Credentials(), s.settings.ControlCredentials()
 	if dial != nil {
@@ -202,14 +225,14 @@
 	dir.owner = s.owner
 	calls.suspect = dir.Suspect
 	s.directory = dir
-	s.minters = limit.NewMinters(limitFleet{s.member}, clock)
-	s.limiter = limit.New(limit.Options{Fleet: limitFleet{s.member}, Peers: calls, Minters: s.minters, Clock: clock, Counters: s.counters, OnAdmit: opts.OnAdmit})
+	s.minters = limit.NewMinters(limitFleet{s.member}, sinceStart)
+	s.limiter = limit.New(limit.Options{Fleet: limitFleet{s.member}, Peers: calls, Minters: s.minters, Clock: sinceStart, Counters: s.counters, OnAdmit: opts.OnAdmit})
 	s.entry = entry.New(entry.Options{
 		Listener: s.listeners.client, TLS: clientTLS, AllowPlaintext: s.settings.Client.Plaintext,
 		Host: s.settings.Name, Zone: s.settings.Zone, Document: s.member.Document, KeysChanged: s.member.Subscribe(),
 		Keys: customer.NewKeyVerifier(s.member.Document, s.member.KeysFresh), Limiter: s.limiter, Positions: dir, CancelForwarder: calls,
 		Opener:   routing.New(routing.Options{Zone: s.settings.Zone, Directory: dir, Dialer: calls, Counters: s.counters, Seed: uint64(start.UnixNano())}),
-		Counters: s.counters, Logger: s.log, MaxClients: s.settings.Client.MaxClients,
+		Counters: s.counters, Logger: s.log, MaxClients: s.settings.Client.MaxClients, Budget: s.budget,
 	})
 }
 
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -29,6 +29,9 @@
 	Backend  BackendSettings `yaml:"backend"`
 	// DrainTimeout bounds the drain in a planned stop.
 	DrainTimeout config.Duration `yaml:"drain_timeout"`
+	// MemoryMB is the process's limit on memory, in MiB. If it is 0, the limit follows
+	// from the variable GOMEMLIMIT of the Go runtime; without that it is 1024.
+	MemoryMB int `yaml:"memory_mb,omitempty"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"log_level"`
 }
@@ -194,6 +197,9 @@
 			return errors.Errorf("setting %s is missing", r.name)
 		}
 	}
+	if s.MemoryMB < 0 || s.Client.MaxClients < 0 {
+		return errors.New("settings memory_mb and client.max_clients must not be negative")
+	}
 	if s.Backend.User == s.Backend.ControlUser {
 		return errors.New("settings backend.user and backend.control_user are the same; a caller's statement could then promote a database")
 	}
--- a/internal/session/machine.go
+++ b/internal/session/machine.go
@@ -199,6 +199,27 @@
 	return step, refused
 }
 
+// RefuseMessage refuses one client message before it is processed, in the same way as
+// ProcessClientMessage. A message that would be skipped is skipped.
+func (m *Machine) RefuseMessage(typ byte, body []byte, refused *verdict.Error) (Step, *verdict.Error) {
+	switch {
+	case m.skipUntilSync || m.aborting || m.copyIn:
+		return m.ProcessClientMessage(typ, body)
+	case m.partSent || m.status != StatusIdle:
+		return m.abort(typ, refused), nil
+	}
+	return Step{}, refused
+}
+
+// StatementBytes returns the size of the texts of the prepared statements.
+func (m *Machine) StatementBytes() int {
+	size := 0
+	for name, s := range m.statements {
+		size += len(name) + len(s.text.Value())
+	}
+	return size
+}
+
 // Abort drops the collected bytes of a batch of an open stream and collects messages
 // that make the backend server abort the batch. The client receives the refusal
 // instead of the backend server's error. ended is set if the client has ended the
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -64,7 +64,9 @@
 	AnswerOverdue           Reason = "answer_overdue"
 	Cancelled               Reason = "cancelled"
 	TooManyClients          Reason = "too_many_clients"
-	IdleTransactionTimeout  Reason = "idle_transaction_timeout"
+	// MemoryLimit means that the memory that this host has for clients is in use.
+	MemoryLimit            Reason = "memory_limit"
+	IdleTransactionTimeout Reason = "idle_transaction_timeout"
 	// TransactionAborted means that a transaction was rolled back and has no
 	// effect.
 	TransactionAborted Reason = "transaction_aborted"
@@ -110,6 +112,7 @@
 	AnswerOverdue:           "57014",
 	Cancelled:               "57014",
 	TooManyClients:          "53300",
+	MemoryLimit:             "53200",
 	IdleTransactionTimeout:  "25P03",
 	TransactionAborted:      "40000",
 	ReadOnly:                "25006",
