--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -25,20 +25,20 @@
 	// RuntimeShare is the share of the process's memory limit that is set as the soft
 	// limit of the Go runtime. The rest is for buffers of the kernel and the C library.
 	RuntimeShare = 0.7
-	// defaultMemoryBytes is assumed without any memory limit.
-	defaultMemoryBytes = 1 << 30
-	// logInterval is the time between two log lines of one account. Those in between are
-	// counted.
+	// assumedMemoryBytes is the memory limit of a process without any.
+	assumedMemoryBytes = 2 << 30
+	// logInterval is the time between two log lines of one kind.
 	logInterval = time.Second
 )
 
 // ProcessMemory returns the memory limit of the process in bytes that follows from the
-// soft limit of the Go runtime, which the variable GOMEMLIMIT sets.
-func ProcessMemory() int64 {
+// soft limit of the Go runtime, which the variable GOMEMLIMIT sets. known is false without
+// that; the limit is then an assumption.
+func ProcessMemory() (limit int64, known bool) {
 	if soft := debug.SetMemoryLimit(-1); soft < math.MaxInt64 {
-		return int64(float64(soft) / RuntimeShare)
+		return int64(float64(soft) / RuntimeShare), true
 	}
-	return defaultMemoryBytes
+	return assumedMemoryBytes, false
 }
 
 // MaxConnections returns how many client connections a process with the memory limit may
@@ -55,15 +55,12 @@
 
 	mu     sync.Mutex
 	ledger *ledger
-	// lastLog is the time of the last log line of each account, zero before the first,
-	// and unlogged counts the events since.
-	lastLog  [accounts]time.Duration
-	unlogged [accounts]int64
+	logs   logLimiter
 }
 
 // New returns the budget of a process with the memory limit.
 func New(memoryBytes int64, c clock.Clock, l *log.Logger, counters *telemetry.Counters) *Budget {
-	return &Budget{clock: c, log: l, counters: counters, ledger: newLedger(memoryBytes)}
+	return &Budget{clock: c, log: l, counters: counters, ledger: newLedger(memoryBytes), logs: logLimiter{}}
 }
 
 // SetMemory changes the memory limit. What is held already stays. It has no effect on a
@@ -121,13 +118,7 @@
 	}
 	b.mu.Lock()
 	used, limit, owner := b.ledger.used[a], b.ledger.limits[a], h.owner
-	write := b.lastLog[a] == 0 || now-b.lastLog[a] >= logInterval
-	unlogged := b.unlogged[a]
-	if write {
-		b.lastLog[a], b.unlogged[a] = now, 0
-	} else {
-		b.unlogged[a]++
-	}
+	unlogged, write := b.logs.allow(now, rules[a].name)
 	b.mu.Unlock()
 	if write {
 		b.log.Warn().Str("account", rules[a].name).Str("action", what).Str("owner", owner).Int("wanted", wanted).
@@ -135,6 +126,46 @@
 	}
 }
 
+// RecordClosed counts and logs that the connection of an owner was closed for the reason,
+// which is the name of the counter. It has no effect on a nil Budget.
+func (b *Budget) RecordClosed(reason, owner string) {
+	if b == nil {
+		return
+	}
+	b.counters.Add(reason, 1)
+	now := b.clock()
+	b.mu.Lock()
+	unlogged, write := b.logs.allow(now, reason)
+	b.mu.Unlock()
+	if write {
+		b.log.Warn().Str("reason", reason).Str("owner", owner).Int64("unlogged", unlogged).Msg("client connection closed")
+	}
+}
+
+// logLimiter allows one log line of a kind in each logInterval and counts the others.
+type logLimiter map[string]*logState
+
+type logState struct {
+	last     time.Duration
+	unlogged int64
+}
+
+// allow reports whether a line may be written, and how many of its kind were not written
+// since the last one.
+func (l logLimiter) allow(now time.Duration, kind string) (unlogged int64, ok bool) {
+	s, known := l[kind]
+	if !known {
+		s = &logState{}
+		l[kind] = s
+	}
+	if known && now-s.last < logInterval {
+		s.unlogged++
+		return 0, false
+	}
+	unlogged, s.unlogged, s.last = s.unlogged, 0, now
+	return unlogged, true
+}
+
 // Release gives n bytes of the account back.
 func (l *Lease) Release(a Account, n int) {
 	if l == nil || n <= 0 {
--- a/internal/budget/listener.go
+++ b/internal/budget/listener.go
@@ -5,8 +5,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 )
 
 // Listener limits the open connections of a listener. When there are too many, it closes
@@ -15,20 +13,20 @@
 // does not yet belong to a complete request, see Conn.Delivered.
 type Listener struct {
 	net.Listener
-	max      int
-	budget   *Budget
-	counters *telemetry.Counters
-	counter  string
-	started  time.Time
+	max     int
+	metered bool
+	budget  *Budget
+	counter string
+	started time.Time
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 }
 
-// NewListener wraps a listener. name is the prefix of its counter. budget may be nil.
-func NewListener(l net.Listener, name string, maxConns int, b *Budget, counters *telemetry.Counters) *Listener {
+// NewListener wraps a listener. name is the prefix of its counter.
+func NewListener(l net.Listener, name string, maxConns int, metered bool, b *Budget) *Listener {
 	return &Listener{
-		Listener: l, max: maxConns, budget: b, counters: counters, counter: name + "_connections_closed",
+		Listener: l, max: maxConns, metered: metered, budget: b, counter: name + "_connections_closed",
 		started: time.Now(), conns: map[*Conn]struct{}{},
 	}
 }
@@ -41,7 +39,9 @@
 	}
 	c := &Conn{Conn: nc, l: l}
 	c.lastRead.Store(int64(time.Since(l.started)))
-	c.lease = l.budget.Open(addressOwner(nc), func() { _ = nc.Close() })
+	if l.metered {
+		c.lease = l.budget.Open(AddressOwner(nc.RemoteAddr()), func() { _ = nc.Close() })
+	}
 	l.mu.Lock()
 	var stalest *Conn
 	if len(l.conns) >= l.max {
@@ -54,14 +54,12 @@
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
 	if stalest != nil {
-		l.counters.Add(l.counter, 1)
+		l.budget.RecordClosed(l.counter, AddressOwner(stalest.Conn.RemoteAddr()))
 		_ = stalest.Close()
 	}
 	return c, nil
 }
 
-func addressOwner(nc net.Conn) string { return AddressOwner(nc.RemoteAddr()) }
-
 // AddressOwner returns the owner of a connection whose customer is not known.
 func AddressOwner(a net.Addr) string {
 	host, _, err := net.SplitHostPort(a.String())
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"sync"
@@ -16,13 +17,13 @@
 
 // Entry serves the client connections of one entry host.
 type Entry struct {
-	opts       Options
-	sessions   *registry
-	loginSlots chan struct{}
-	draining   atomic.Bool
-	requestID  atomic.Uint64
-	routes     atomic.Pointer[routeIndex]
-	positions  *positionCoalescer
+	opts      Options
+	sessions  *registry
+	logins    *logins
+	draining  atomic.Bool
+	requestID atomic.Uint64
+	routes    atomic.Pointer[routeIndex]
+	positions *positionCoalescer
 	// sessionCtx is the parent of the contexts of all sessions. Run cancels it after
 	// its own context has ended.
 	sessionCtx     context.Context
@@ -37,7 +38,7 @@
 	e := &Entry{
 		opts:           o,
 		sessions:       newRegistry(processIDPrefix(o.Host)),
-		loginSlots:     make(chan struct{}, maxConcurrentLogins),
+		logins:         newLogins(min(maxConcurrentLogins, o.MaxClients)),
 		sessionCtx:     sessionCtx,
 		cancelSessions: cancelSessions,
 	}
@@ -79,17 +80,41 @@
 			}
 			continue
 		}
-		select {
-		case e.loginSlots <- struct{}{}:
-			e.wg.Go(func() {
-				defer func() { <-e.loginSlots }()
-				e.login(conn)
-			})
-		default:
-			e.recordRefusal(verdict.New(verdict.NotRun, verdict.TooManyClients, "too many logins in progress"))
-			_ = conn.Close()
+		end, stalest := e.logins.begin(conn)
+		if stalest != nil {
+			e.recordRefusal(verdict.New(verdict.NotRun, verdict.TooManyClients, "too many logins in progress; the oldest one was closed"))
+			_ = stalest.Close()
 		}
+		e.wg.Go(func() {
+			defer end()
+			e.login(conn)
+		})
+	}
+}
+
+// logins holds the connections whose login is in progress, oldest first.
+type logins struct {
+	max   int
+	mu    sync.Mutex
+	order *list.List
+}
+
+func newLogins(limit int) *logins { return &logins{max: limit, order: list.New()} }
+
+// begin adds a login and returns the function that ends it. If there are too many,
+// stalest is the oldest one, which must be closed.
+func (l *logins) begin(conn net.Conn) (end func(), stalest net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.order.Len() >= l.max {
+		stalest = l.order.Remove(l.order.Front()).(net.Conn)
 	}
+	entry := l.order.PushBack(conn)
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.order.Remove(entry) // no effect if it was the oldest one before
+	}, stalest
 }
 
 // acceptRetryDelay is the delay before the next Accept after a failed one.
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -114,7 +114,8 @@
 	// maxChunkBytes limits the frontend bytes of one message between hosts. By
 	// default, gRPC accepts messages of up to 4 MiB.
 	maxChunkBytes = 1 << 20
-	// maxConcurrentLogins limits the logins in progress at one time. It is large
+	// maxConcurrentLogins limits the logins in progress at one time, and so does
+	// MaxClients; the oldest login is closed for a new one. It is large
 	// enough for all clients that reconnect after a host restarts, about 5,100 in a
 	// fleet of full size, and for some connections that stay silent.
 	maxConcurrentLogins = 8192
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -138,11 +138,13 @@
 )
 
 func (f *Frontend) serve(conn net.Conn) {
-	lease := f.opt.Budget.Open(budget.AddressOwner(conn.RemoteAddr()), func() { _ = conn.Close() })
+	address := budget.AddressOwner(conn.RemoteAddr())
+	lease := f.opt.Budget.Open(address, func() { _ = conn.Close() })
 	s := newSession(f, f.opt.NewClient(conn, lease), lease)
+	s.address = address
 	stalest, ok := f.register(s)
 	if stalest != nil {
-		f.opt.Counters.Add("starting_sessions_closed", 1)
+		f.opt.Budget.RecordClosed("starting_sessions_closed", stalest.address)
 		stalest.client.Close()
 	}
 	if !ok {
--- /dev/null
+++ b/internal/frontend/limits_test.go
@@ -0,0 +1,108 @@
+package frontend
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/budget"
+	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
+)
+
+// Guards against clients that connect, send nothing, and keep ordinary callers out, and
+// against one customer that takes all sessions.
+func TestAdmissionMakesRoom(t *testing.T) {
+	x := newFixture(t) // 10 clients
+	closed := map[string]bool{}
+	connect := func(name string) (*session, bool) {
+		s := newSession(x.f, &closeRecorder{fakeClient: &fakeClient{}, closed: func() { closed[name] = true }}, nil)
+		stalest, ok := x.f.register(s)
+		if stalest != nil {
+			stalest.client.Close()
+			x.f.unregister(stalest)
+		}
+		return s, ok
+	}
+	for i := range 4 {
+		_, ok := connect(fmt.Sprint("silent ", i))
+		assert.Assert(t, ok)
+	}
+	assert.DeepEqual(t, closed, map[string]bool{"silent 0": true, "silent 1": true})
+	accepted := 0
+	for range 8 {
+		s, ok := connect("crowd")
+		s.customer = "crowd"
+		if ok && x.f.accept(s) {
+			accepted++
+		} else {
+			x.f.unregister(s)
+		}
+	}
+	assert.Equal(t, accepted, 7)
+	s, ok := connect("ordinary")
+	s.customer = "ordinary"
+	assert.Assert(t, ok && x.f.accept(s))
+	assert.Assert(t, !closed["crowd"] && !closed["ordinary"])
+	x.f.unregister(s)
+	assert.Equal(t, x.f.byCustomer["ordinary"], 0)
+}
+
+type closeRecorder struct {
+	*fakeClient
+	closed func()
+}
+
+func (c *closeRecorder) Close() { c.closed() }
+
+// Guards against state and statements that are kept without a reservation, against
+// reservations that are not given back, and against a refusal that breaks the session.
+func TestSessionMemoryIsBounded(t *testing.T) {
+	x := newFixture(t)
+	counters := telemetry.NewCounters()
+	b := budget.New(10<<20, x.now, &log.Logger{Level: log.PanicLevel}, counters) // state 0.8 MiB, statements 1.2 MiB
+	s := newSession(x.f, nil, b.Open("cust", nil))
+	large := strings.Repeat("x", 300<<10)
+	set := func(name, value string) *verdict.Error {
+		return s.set(statement.Statement{Name: name, Arguments: value}).Err
+	}
+	assert.Assert(t, set("a", large) == nil)
+	err := set("b", large) // more than half of the account
+	assert.Equal(t, err.Reason, verdict.MemoryLimit)
+	assert.Equal(t, err.Verdict, verdict.NotRun)
+	assert.Equal(t, len(s.values), 1)
+	assert.Assert(t, set("a", "small") == nil)
+	assert.Assert(t, s.prepare(statement.Statement{Name: "p", Shape: statement.Shape{Text: large}}).Err == nil)
+	assert.Assert(t, s.deallocate(statement.Statement{Name: "p"}).Err == nil)
+	assert.Equal(t, s.reservedBytes, 0)
+	assert.Assert(t, set("b", large) == nil)
+
+	release, refused := s.reserveStatement(statement.Statement{Text: large})
+	assert.Assert(t, release == nil)
+	assert.Equal(t, refused.Reason, verdict.MemoryLimit)
+	assert.Assert(t, set("b", "small") == nil)
+	for range 3 {
+		release, refused = s.reserveStatement(statement.Statement{Text: large[:200<<10]})
+		assert.Assert(t, refused == nil)
+		release()
+	}
+	assert.Equal(t, counters.Get("memory_state_refused"), int64(1))
+	assert.Equal(t, counters.Get("memory_statements_refused"), int64(1))
+}
+
+// Guards against an open transaction that goes on after one of its statements was refused.
+func TestRefusedStatementFailsTransaction(t *testing.T) {
+	x := newFixture(t)
+	b := budget.New(1<<20, x.now, &log.Logger{Level: log.PanicLevel}, telemetry.NewCounters())
+	s := newSession(x.f, nil, b.Open("cust", nil))
+	s.tx = &transaction{lastUsed: time.Second}
+	r := s.runStatement(statement.Statement{Kind: statement.Read, Text: strings.Repeat("x", 100<<10)}, s.tx.route, x.now())
+	assert.Equal(t, r.Err.Reason, verdict.MemoryLimit)
+	assert.Equal(t, s.state(), statement.Failed)
+	assert.Equal(t, len(x.fleet.recordedCalls()), 0)
+}
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -35,7 +35,9 @@
 	// customer is the customer whose key opened the session.
 	customer string
 
-	lease *budget.Lease
+	// address is the client's address.
+	address string
+	lease   *budget.Lease
 	// startingEntry and countedAs are guarded by the lock of the Frontend: the place among
 	// the sessions without a first message, and the customer that the session counts for.
 	startingEntry *list.Element
@@ -245,6 +247,9 @@
 		s.recordRefusal(st, r.Err)
 	}
 	if err := s.answer(r); err != nil || closeAfter {
+		if err != nil && statement.IsTimeout(errors.Cause(err)) {
+			s.f.opt.Budget.RecordClosed("answers_not_taken", s.customer)
+		}
 		return false
 	}
 	s.lease.SetBusy(s.tx != nil)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -151,12 +151,8 @@
 	latencies := telemetry.NewLatencies(h.counters)
 	limits := h.settings.ClientLimits.WithDefaults()
 	h.budget = budget.New(h.memoryBytes(), h.clock, h.log, h.counters)
-	for i, max := range map[int]int{readyListener: limits.HTTPConnections, metricsListener: limits.HTTPConnections, peerListener: limits.PeerConnections} {
-		var b *budget.Budget
-		if i == peerListener {
-			b = h.budget
-		}
-		h.listeners[i] = budget.NewListener(h.listeners[i], listenerNames[i], max, b, h.counters)
+	for i, maxConns := range map[int]int{readyListener: limits.HTTPConnections, metricsListener: limits.HTTPConnections, peerListener: limits.PeerConnections} {
+		h.listeners[i] = budget.NewListener(h.listeners[i], listenerNames[i], maxConns, i == peerListener, h.budget)
 	}
 	h.directory = &directory{
 		self: self, zones: h.settings.Zones, clock: h.clock,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -87,13 +87,15 @@
 		log:      telemetry.NewLogger(opts.LogWriter, settings.LogLevel, settings.Name),
 		counters: telemetry.NewCounters(),
 	}
-	memory := budget.ProcessMemory()
+	memory, known := budget.ProcessMemory()
 	if s.settings.MemoryMB > 0 {
-		memory = int64(s.settings.MemoryMB) << 20
+		memory, known = int64(s.settings.MemoryMB)<<20, true
 		debug.SetMemoryLimit(int64(budget.RuntimeShare * float64(memory)))
 	}
 	s.budget = budget.New(memory, clock.Boot, s.log, s.counters)
-	s.settings.Client.MaxClients = min(s.settings.Client.MaxClients, budget.MaxConnections(memory))
+	if known {
+		s.settings.Client.MaxClients = min(s.settings.Client.MaxClients, budget.MaxConnections(memory))
+	}
 	if err := s.assemble(opts); err != nil {
 		s.close()
 		return nil, err
@@ -149,9 +151,9 @@
 		}
 		switch l.target {
 		case &s.listeners.peer:
-			listener = budget.NewListener(listener, "peer", maxPeerConnections, s.budget, s.counters)
+			listener = budget.NewListener(listener, "peer", maxPeerConnections, true, s.budget)
 		case &s.listeners.admin:
-			listener = budget.NewListener(listener, "admin", maxAdminConnections, nil, s.counters)
+			listener = budget.NewListener(listener, "admin", maxAdminConnections, false, s.budget)
 		}
 		*l.target = listener
 		s.closers = append(s.closers, listener)
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -30,7 +30,7 @@
 	// DrainTimeout bounds the drain in a planned stop.
 	DrainTimeout config.Duration `yaml:"drain_timeout"`
 	// MemoryMB is the process's limit on memory, in MiB. If it is 0, the limit follows
-	// from the variable GOMEMLIMIT of the Go runtime; without that it is 1024.
+	// from the variable GOMEMLIMIT of the Go runtime; without that, 2048 are assumed.
 	MemoryMB int `yaml:"memory_mb,omitempty"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"log_level"`
