Spare clients that have just connected when others make room

Cause: after a pause of the process many ordinary clients start at once, and the oldest of them would have been closed.

Change: a connection without a first message makes room once it is 1 s old, a PostgreSQL login once it is 2 s old. Before, the new one is refused if the host is full.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,10 +80,13 @@
 			}
 			continue
 		}
-		end, stalest := e.logins.begin(conn)
-		if stalest != nil {
-			e.recordRefusal(verdict.New(verdict.NotRun, verdict.TooManyClients, "too many logins in progress; the oldest one was closed"))
-			_ = stalest.Close()
+		end, surplus := e.logins.begin(conn, time.Now())
+		if surplus != nil {
+			e.recordRefusal(verdict.New(verdict.NotRun, verdict.TooManyClients, "too many logins in progress; one was closed"))
+			_ = surplus.Close()
+		}
+		if end == nil {
+			continue
 		}
 		e.wg.Go(func() {
 			defer end()
@@ -99,22 +102,37 @@
 	order *list.List
 }
 
+type pendingLogin struct {
+	conn  net.Conn
+	began time.Time
+}
+
+// loginGrace is how long a login may be in progress before it is closed for a new one.
+const loginGrace = 2 * time.Second
+
 func newLogins(limit int) *logins { return &logins{max: limit, order: list.New()} }
 
 // begin adds a login and returns the function that ends it. If there are too many,
-// stalest is the oldest one, which must be closed.
-func (l *logins) begin(conn net.Conn) (end func(), stalest net.Conn) {
+// surplus must be closed: the oldest login, or the new one, which then has no end, if the
+// oldest has not had loginGrace.
+func (l *logins) begin(conn net.Conn, now time.Time) (end func(), surplus net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.order.Len() >= l.max {
-		stalest = l.order.Remove(l.order.Front()).(net.Conn)
+		oldest := l.order.Front()
+		login := oldest.Value.(pendingLogin)
+		if now.Sub(login.began) < loginGrace {
+			return nil, conn
+		}
+		l.order.Remove(oldest)
+		surplus = login.conn
 	}
-	entry := l.order.PushBack(conn)
+	entry := l.order.PushBack(pendingLogin{conn, now})
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.order.Remove(entry) // no effect if it was the oldest one before
-	}, stalest
+	}, surplus
 }
 
 // acceptRetryDelay is the delay before the next Accept after a failed one.
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -15,14 +16,20 @@
 	for i := range conns {
 		conns[i], _ = net.Pipe()
 	}
-	var stalest net.Conn
-	for i, want := range []net.Conn{nil, nil, conns[0]} {
-		ends[i], stalest = l.begin(conns[i])
-		assert.Equal(t, stalest, want)
+	now := time.Unix(0, 0)
+	var surplus net.Conn
+	for i := range 2 {
+		ends[i], surplus = l.begin(conns[i], now)
+		assert.Equal(t, surplus, nil)
 	}
+	_, surplus = l.begin(conns[2], now)
+	assert.Equal(t, surplus, conns[2])
+	now = now.Add(loginGrace)
+	_, surplus = l.begin(conns[2], now)
+	assert.Equal(t, surplus, conns[0])
 	ends[0]()
 	assert.Equal(t, l.order.Len(), 2)
 	ends[1]()
-	_, stalest = l.begin(conns[3])
-	assert.Equal(t, stalest, nil)
+	_, surplus = l.begin(conns[3], now)
+	assert.Equal(t, surplus, nil)
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -131,8 +131,10 @@
 
 const (
 	// startingShare is the share of MaxClients that may be connected without having sent
-	// their first message. The oldest ones are closed for new ones.
+	// their first message. The oldest one is closed for a new one, once it has had
+	// startingGrace: after a pause of the process, many ordinary clients start at once.
 	startingShare = 0.25
+	startingGrace = time.Second
 	// customerShare is the share of MaxClients that one customer's sessions may take.
 	customerShare = 0.75
 )
@@ -168,15 +170,19 @@
 func (f *Frontend) register(s *session) (stalest *session, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.opt.Clock()
 	full := len(f.sessions) >= f.opt.MaxClients
 	if oldest := f.starting.Front(); oldest != nil && (full || f.starting.Len() >= f.share(startingShare)) {
-		stalest = f.starting.Remove(oldest).(*session)
-		stalest.startingEntry = nil
-		full = false
+		if s := oldest.Value.(*session); now-s.connected >= startingGrace {
+			stalest = s
+			f.removeStarting(s)
+			full = false
+		}
 	}
 	if full {
 		return nil, false
 	}
+	s.connected = now
 	f.sessions[s] = struct{}{}
 	s.startingEntry = f.starting.PushBack(s)
 	return stalest, true
--- a/internal/frontend/limits_test.go
+++ b/internal/frontend/limits_test.go
@@ -20,6 +20,7 @@
 func TestAdmissionMakesRoom(t *testing.T) {
 	x := newFixture(t) // 10 clients
 	closed := map[string]bool{}
+	now := time.Minute
 	connect := func(name string) (*session, bool) {
 		s := newSession(x.f, &closeRecorder{fakeClient: &fakeClient{}, closed: func() { closed[name] = true }}, nil)
 		stalest, ok := x.f.register(s)
@@ -29,13 +30,22 @@
 		}
 		return s, ok
 	}
-	for i := range 4 {
+	x.f.opt.Clock = func() time.Duration { return now }
+	for i := range 10 {
 		_, ok := connect(fmt.Sprint("silent ", i))
 		assert.Assert(t, ok)
 	}
-	assert.DeepEqual(t, closed, map[string]bool{"silent 0": true, "silent 1": true})
+	_, ok := connect("too many that have just connected")
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(closed), 0)
+	now += startingGrace
+	for i := range 9 {
+		connect(fmt.Sprint("later ", i))
+		assert.Assert(t, closed[fmt.Sprint("silent ", i)])
+	}
+	now += startingGrace
 	accepted := 0
-	for range 8 {
+	for range 9 {
 		s, ok := connect("crowd")
 		s.customer = "crowd"
 		if ok && x.f.accept(s) {
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -35,9 +35,10 @@
 	// customer is the customer whose key opened the session.
 	customer string
 
-	// address is the client's address.
-	address string
-	lease   *budget.Lease
+	// address is the client's address, connected the time of its connection.
+	address   string
+	connected time.Duration
+	lease     *budget.Lease
 	// startingEntry and countedAs are guarded by the lock of the Frontend: the place among
 	// the sessions without a first message, and the customer that the session counts for.
 	startingEntry *list.Element
