Give back the memory of refused PostgreSQL statements

Cause: what a refused message had reserved was given back at the end of the next batch only, and a session that had run a batch of its own stayed busy.

Change: the end of each message decides, by the state of the session.

--- a/internal/entry/client.go
+++ b/internal/entry/client.go
@@ -98,9 +98,7 @@
 			err = c.handleMessage(typ, body)
 			releaseBody(body)
 		}
-		c.lease.Release(budget.Input, c.reservedInput)
-		c.reservedInput = 0
-		c.setHandlingMessage(false)
+		c.endMessage()
 		if err != nil {
 			c.sendFinalError(err)
 			return
@@ -108,6 +106,23 @@
 	}
 }
 
+// endMessage gives back what a message held, and at the end of a batch what its statements
+// held.
+func (c *client) endMessage() {
+	c.mu.Lock()
+	c.handlingMessage = false
+	batchEnded := !c.machine.InBatch() && !c.awaitingReady
+	idle := batchEnded && c.machine.Status() == session.StatusIdle
+	c.mu.Unlock()
+	c.lease.Release(budget.Input, c.reservedInput)
+	c.reservedInput = 0
+	if batchEnded {
+		c.lease.Release(budget.Statements, c.reservedStatements)
+		c.reservedStatements = 0
+	}
+	c.lease.SetBusy(!idle)
+}
+
 func (c *client) setHandlingMessage(on bool) {
 	c.mu.Lock()
 	c.handlingMessage = on
@@ -359,7 +374,6 @@
 	}
 	if step.End {
 		c.awaitingReady = true
-		defer c.releaseBatch()
 	}
 	c.mu.Unlock()
 	switch {
@@ -410,16 +424,6 @@
 	return nil
 }
 
-// releaseBatch gives back what the statements of the batch held.
-func (c *client) releaseBatch() {
-	c.lease.Release(budget.Statements, c.reservedStatements)
-	c.reservedStatements = 0
-	c.mu.Lock()
-	idle := c.machine.Status() == session.StatusIdle
-	c.mu.Unlock()
-	c.lease.SetBusy(!idle)
-}
-
 // forwardCollected sends the collected frontend bytes to the home host. It opens an
 // exchange if none is open.
 func (c *client) forwardCollected(batchEnded bool) error {
