Tell clients over a small limit that there are too many

Cause: logins in progress were limited to MaxClients; with a small MaxClients the next client was closed without an error while the login before it was ending.

Change: at least 256 logins may be in progress.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,7 +38,7 @@
 	e := &Entry{
 		opts:           o,
 		sessions:       newRegistry(processIDPrefix(o.Host)),
-		logins:         newLogins(min(maxConcurrentLogins, o.MaxClients)),
+		logins:         newLogins(min(maxConcurrentLogins, max(o.MaxClients, minConcurrentLogins))),
 		sessionCtx:     sessionCtx,
 		cancelSessions: cancelSessions,
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -114,6 +114,9 @@
 	// maxChunkBytes limits the frontend bytes of one message between hosts. By
 	// default, gRPC accepts messages of up to 4 MiB.
 	maxChunkBytes = 1 << 20
+	// minConcurrentLogins is the least limit of logins in progress, so that clients over a
+	// small MaxClients are told so.
+	minConcurrentLogins = 256
 	// maxConcurrentLogins limits the logins in progress at one time, and so does
 	// MaxClients; the oldest login is closed for a new one. It is large
 	// enough for all clients that reconnect after a host restarts, about 5,100 in a
