--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/budget"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
@@ -71,6 +72,8 @@
 	CancelForwarder CancelForwarder
 	Counters        *telemetry.Counters
 	Logger          *log.Logger
+	// Budget bounds the memory of clients; nil for no bound.
+	Budget *budget.Budget
 	// MaxClients limits the number of sessions of this host; 0 selects the default.
 	MaxClients int
 	// IdleTransactionTimeout is the longest time that a client may be idle within a
@@ -111,7 +114,11 @@
 	// maxChunkBytes limits the frontend bytes of one message between hosts. By
 	// default, gRPC accepts messages of up to 4 MiB.
 	maxChunkBytes = 1 << 20
-	// maxConcurrentLogins limits the logins in progress at one time. It is large
+	// minConcurrentLogins is the least limit of logins in progress, so that clients over a
+	// small MaxClients are told so.
+	minConcurrentLogins = 256
+	// maxConcurrentLogins limits the logins in progress at one time, and so does
+	// MaxClients; the oldest login is closed for a new one. It is large
 	// enough for all clients that reconnect after a host restarts, about 5,100 in a
 	// fleet of full size, and for some connections that stay silent.
 	maxConcurrentLogins = 8192
--- a/internal/frontend/byload_test.go
+++ b/internal/frontend/byload_test.go
@@ -31,7 +31,7 @@
 		r := c.do(statement.Read, "READ a")
 		assert.Assert(t, r.Err == nil, "%v", r.Err)
 	}
-	full := (&operation{s: newSession(x.f, nil)}).maxSlotWait().Microseconds()
+	full := (&operation{s: newSession(x.f, nil, nil)}).maxSlotWait().Microseconds()
 	assert.Assert(t, len(waits) > 0)
 	for _, w := range waits {
 		assert.Assert(t, w < full/2, "a read with an alternative waits %d µs", w)
