ownership: date a ceded role no earlier than its row was read

Cause: a leaving host may cede a role to a process that has ended and been replaced without its knowledge. The next process then dated the end of its predecessor by its own start, or another host by the first sight of the new host row, although the leaving host granted tokens until it ceded the role.

Change: the date is never before the time when this host read the role's row. After a restart of the whole fleet minters start later by the time between the start of a process and its first read of the rows.

Evidence: TestRoleCededToAnEndedProcessIsDatedByTheRow failed in both cases (dated 0.5 s too early). TestPredecessorHadEndedByTheStatedTime, which now also stops hosts and lets processes read their first rows late, failed after 81 checks; 1,500 checks pass now.

--- a/internal/ownership/recovery.go
+++ b/internal/ownership/recovery.go
@@ -28,7 +28,8 @@
 // recordPredecessorEnd records when the holder in the row r, which this host replaces in
 // the next epoch, had ended at the latest. This is known only if its process has been
 // replaced by another one at the same address, and if no earlier holder can have used the
-// role beside it.
+// role beside it. The time is never before this host read the row: a leaving host may have
+// written it, and may have used the role until then.
 func (m *Machine) recordPredecessorEnd(name string, r *roleRow, next Role) {
 	delete(m.predecessorEnds, name)
 	if r == nil || !r.NoTakeoverWait || !next.NoTakeoverWait {
@@ -37,9 +38,9 @@
 	h, ok := m.hosts[r.Holder]
 	switch {
 	case r.Holder == m.self.Name && r.Address == m.self.Address:
-		m.predecessorEnds[name] = predecessorEnd{next.Epoch, m.startedAt}
+		m.predecessorEnds[name] = predecessorEnd{next.Epoch, max(m.startedAt, r.firstSeenAt)}
 	case ok && h.Incarnation != r.Incarnation && h.Address == r.Address:
-		m.predecessorEnds[name] = predecessorEnd{next.Epoch, h.firstSeenAt}
+		m.predecessorEnds[name] = predecessorEnd{next.Epoch, max(h.firstSeenAt, r.firstSeenAt)}
 	}
 }
 
--- a/internal/ownership/recovery_test.go
+++ b/internal/ownership/recovery_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	_ "github.com/cranberryhinge/cranberryhinge/internal/fixedseed"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // roleUse records when each process last could use the role of a simulatedFleet.
@@ -17,8 +18,8 @@
 	dated int
 }
 
-// randomFaults runs a fleet whose hosts are killed, restarted, isolated and cut off from
-// the store at random, and calls check whenever a process has got the role.
+// randomFaults runs a fleet whose hosts are killed, restarted, stopped, isolated and cut off
+// from the store at random, and calls check whenever a process has got the role.
 func randomFaults(draw func(n int) int, f *simulatedFleet, check func(m *Machine, end time.Duration, use *roleUse)) *roleUse {
 	use := &roleUse{last: map[*Machine]time.Duration{}}
 	incarnation := uint64(1)
@@ -45,6 +46,13 @@
 			f.withoutStore[m] = !f.withoutStore[m]
 		case 4:
 			f.advance(3 * time.Second)
+		case 5:
+			m.Leave()
+		case 6: // a process that reads its first rows late
+			incarnation++
+			delete(f.withoutStore, m)
+			f.hosts[i] = f.newMachine(m.self.Name, incarnation)
+			f.isolated[f.hosts[i]] = true
 		}
 		for range 1 + draw(8) {
 			f.advance(50 * time.Millisecond)
@@ -111,6 +119,56 @@
 	assert.Assert(t, !known)
 }
 
+// Guards against a new holder that dates its predecessor's end by the start of its own
+// process, or by the row of a restarted host, although a leaving host used the role until
+// later and then ceded it to a process that had ended.
+func TestRoleCededToAnEndedProcessIsDatedByTheRow(t *testing.T) {
+	for _, restarts := range []bool{true, false} {
+		f := newSimulatedFleet(t, 3)
+		f.advance(4 * time.Second)
+		leaving := f.holder()
+		target := leaving.Rank(f.now, "r", "z")[0]
+		if target.Name == leaving.self.Name {
+			target = leaving.Rank(f.now, "r", "z")[1]
+		}
+		var successor *Machine
+		for i, m := range f.hosts {
+			switch {
+			case m.self.Name == target.Name && restarts:
+				successor = f.newMachine(target.Name, 2)
+				f.hosts[i] = successor
+				f.isolated[successor] = true // it reads its first rows late
+			case m.self.Name != leaving.self.Name && m.self.Name != target.Name && !restarts:
+				successor = m
+			}
+		}
+		assert.Assert(t, successor != nil)
+		restarted := target
+		restarted.Incarnation = 2
+		if !restarts {
+			successor.ApplyRows(f.now, 0, []store.Change{{Row: store.Row{Key: successor.hostKey(target.Name), Value: encode(restarted), Revision: 1000}}}, false)
+		}
+		f.now += 500 * time.Millisecond
+		_, ok := leaving.UsableEpoch(f.now, "r")
+		assert.Assert(t, ok)
+		lastUse := f.now
+		leaving.Leave()
+		for _, w := range leaving.Tick(f.now) {
+			assert.Assert(t, f.store.apply(w))
+		}
+		f.now += 50 * time.Millisecond
+		successor.ApplyRows(f.now, f.now, f.store.allRows(), true)
+		r := successor.roles["r"]
+		assert.Equal(t, r.Holder, target.Name)
+		if !restarts {
+			successor.ApplyRows(f.now, 0, []store.Change{{Row: store.Row{Key: successor.hostKey(target.Name), Value: encode(restarted), Revision: 1000}}}, false)
+		}
+		successor.recordPredecessorEnd("r", r, Role{Epoch: r.Epoch + 1, NoTakeoverWait: true})
+		end, known := successor.PredecessorEnd("r", r.Epoch+1)
+		assert.Assert(t, !known || end >= lastUse, "restarts %v: ended at %v, used at %v", restarts, end, lastUse)
+	}
+}
+
 // Guards, for a fleet whose hosts all start at once, against hosts that disagree on the home
 // host of a server and refuse calls to each other until the first heartbeats have spread;
 // and against a host that counts as alive without a heartbeat for longer.
