ownership: forget what a host's own cut left unanswered in small zones too

Cause: after a cut of its own a host forgot its evidence against other zones only if the zone that answered first had left three probes unanswered. With zones of one or two hosts it never did, and counted the zone that answered last as lost.

Change: the number is that which the loss of a zone takes, at most all hosts of the zone.

Evidence: TestEvidenceFromOwnCutIsForgottenInSmallZones failed with z3 lost while z1 answered, and passes; the other tests of lost zones pass.

--- a/internal/ownership/gossip.go
+++ b/internal/ownership/gossip.go
@@ -146,7 +146,7 @@
 func (m *Machine) RecordUnresponsive(now time.Duration, host string) {
 	if r, ok := m.hosts[host]; ok {
 		m.unresponsiveUntil[host] = now + unresponsivePause
-		m.zoneWatch.recordProbe(now, r.Host, false)
+		m.recordProbe(now, r.Host, false)
 	}
 }
 
@@ -154,7 +154,7 @@
 func (m *Machine) RecordAnswer(now time.Duration, host string) {
 	delete(m.unresponsiveUntil, host)
 	if r, ok := m.hosts[host]; ok {
-		m.zoneWatch.recordProbe(now, r.Host, true)
+		m.recordProbe(now, r.Host, true)
 	}
 }
 
--- a/internal/ownership/zoneloss.go
+++ b/internal/ownership/zoneloss.go
@@ -66,14 +66,15 @@
 	c.heardAt, c.lost = now, false
 }
 
-// recordProbe records whether a host of the zone has answered a heartbeat of this host.
-func (w *zoneWatch) recordProbe(now time.Duration, h Host, answered bool) {
+// recordProbe records whether a host has answered a heartbeat of this host.
+func (m *Machine) recordProbe(now time.Duration, h Host, answered bool) {
+	w := m.zoneWatch
 	if w == nil {
 		return
 	}
 	c := w.contact(h.Zone)
 	if answered {
-		if len(c.unanswered) >= zoneProbes {
+		if len(c.unanswered) >= min(zoneProbes, m.otherHostsIn(h.Zone)) {
 			w.forgetUnanswered() // this host may have been cut off itself
 		}
 		clear(c.unanswered)
@@ -121,17 +122,23 @@
 // every other zone has answered one.
 func (m *Machine) isZoneLost(now time.Duration, zone string, zones []string) bool {
 	c := m.zoneWatch.contact(zone)
+	hosts := m.otherHostsIn(zone)
+	if hosts < minZoneHosts || len(c.unanswered) < min(zoneProbes, hosts) ||
+		now-c.firstUnansweredAt < zoneProbePeriod || now-c.heardAt < zoneSilence {
+		return false
+	}
+	return m.confirmedBy(c.firstUnansweredAt, zone, zones)
+}
+
+// otherHostsIn returns the number of other hosts of the zone.
+func (m *Machine) otherHostsIn(zone string) int {
 	hosts := 0
 	for _, h := range m.Others() {
 		if h.Zone == zone {
 			hosts++
 		}
 	}
-	if hosts < minZoneHosts || len(c.unanswered) < min(zoneProbes, hosts) ||
-		now-c.firstUnansweredAt < zoneProbePeriod || now-c.heardAt < zoneSilence {
-		return false
-	}
-	return m.confirmedBy(c.firstUnansweredAt, zone, zones)
+	return hosts
 }
 
 // confirmedBy reports whether every other zone than the given one has answered this host
--- a/internal/ownership/zoneloss_test.go
+++ b/internal/ownership/zoneloss_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // probeTimeout is the time after which package host records a heartbeat as unanswered.
@@ -214,3 +216,24 @@
 	f.now += zoneProbePeriod
 	assert.Equal(t, len(h.UpdateLostZones(f.now)), 0, "without new evidence")
 }
+
+// Guards against the same in a fleet whose zones have one or two hosts: there, fewer
+// unanswered probes show that this host was cut off.
+func TestEvidenceFromOwnCutIsForgottenInSmallZones(t *testing.T) {
+	const cut = time.Minute
+	f := newSimulatedFleet(t, 0)
+	m := NewMachine(cut-time.Second, Host{Name: "self", Zone: "z0", Incarnation: 1}, "rows")
+	m.EnableFastRecovery()
+	for i, h := range []Host{{Name: "a1", Zone: "z1"}, {Name: "a2", Zone: "z1"}, {Name: "b1", Zone: "z2"}, {Name: "c1", Zone: "z3"}, {Name: "c2", Zone: "z3"}} {
+		f.store.rows[m.hostKey(h.Name)] = store.Row{Key: m.hostKey(h.Name), Value: encode(h), Revision: store.Revision(i + 1)}
+	}
+	m.ApplyRows(cut-time.Second, cut-time.Second, f.store.allRows(), true)
+	for _, h := range m.Others() {
+		m.RecordUnresponsive(cut, h.Name)
+	}
+	for _, answering := range []string{"b1", "a1"} {
+		m.RecordAnswer(cut+2*time.Second, answering)
+		assert.Equal(t, len(m.UpdateLostZones(cut+2*time.Second)), 0, "while %s answers", answering)
+	}
+	assert.Equal(t, len(m.UpdateLostZones(cut+2*time.Second+zoneProbePeriod)), 0, "without new evidence")
+}
