ownership: forget what was left unanswered before a host's own freeze

Cause: a host frozen for 0.4 s or more received no heartbeats meanwhile, which looks like the silence of a zone. Two frozen machines of a zone from before and the heartbeat to a third, expired during the freeze, made it count the zone as lost, and it could claim the zone's roles at once.

Change: UpdateLostZones forgets what was left unanswered if its last call is 0.4 s ago or more.

Evidence: TestEvidenceFromBeforeOwnFreezeIsForgotten failed and passes. The two tests of a host's own cut now call UpdateLostZones during the cut, as a host that runs does, so that they still test that case: both fail without the rule for it, the one for small zones also with the former number.

--- a/internal/ownership/zoneloss.go
+++ b/internal/ownership/zoneloss.go
@@ -42,7 +42,11 @@
 // once, sooner than each of them would be suspected. One host's silence is weak evidence,
 // as it may be slow or frozen. That several hosts of one zone do not answer, while hosts of
 // the other zones do, is strong.
-type zoneWatch struct{ zones map[string]*zoneContact }
+type zoneWatch struct {
+	zones map[string]*zoneContact
+	// updatedAt is when UpdateLostZones was last called.
+	updatedAt time.Duration
+}
 
 // EnableFastRecovery makes the Machine suspect the hosts of a lost zone together, and count
 // hosts as alive that have just registered.
@@ -108,6 +112,10 @@
 	if m.zoneWatch == nil {
 		return nil
 	}
+	if now-m.zoneWatch.updatedAt >= zoneSilence {
+		m.zoneWatch.forgetUnanswered() // this host was frozen: it received nothing either
+	}
+	m.zoneWatch.updatedAt = now
 	zones := m.otherZones()
 	for _, zone := range zones {
 		if c := m.zoneWatch.contact(zone); !c.lost && m.isZoneLost(now, zone, zones) {
--- a/internal/ownership/zoneloss_test.go
+++ b/internal/ownership/zoneloss_test.go
@@ -208,13 +208,16 @@
 			h.RecordUnresponsive(cut, other.Name)
 		}
 	}
-	f.now += 2 * time.Second
+	for ; f.now < cut+2*time.Second; f.now += gossipStep {
+		assert.Equal(t, len(h.UpdateLostZones(f.now)), 0, "while no zone answers")
+	}
 	for _, zone := range h.otherZones()[1:] {
 		h.RecordAnswer(f.now, h.sampleZone(zone, 1, f.rng, nil)[0].Name)
 		assert.Equal(t, len(h.UpdateLostZones(f.now)), 0, "while %s answers", zone)
 	}
-	f.now += zoneProbePeriod
-	assert.Equal(t, len(h.UpdateLostZones(f.now)), 0, "without new evidence")
+	for end := f.now + zoneProbePeriod; f.now <= end; f.now += gossipStep {
+		assert.Equal(t, len(h.UpdateLostZones(f.now)), 0, "without new evidence")
+	}
 }
 
 // Guards against the same in a fleet whose zones have one or two hosts: there, fewer
@@ -228,12 +231,39 @@
 		f.store.rows[m.hostKey(h.Name)] = store.Row{Key: m.hostKey(h.Name), Value: encode(h), Revision: store.Revision(i + 1)}
 	}
 	m.ApplyRows(cut-time.Second, cut-time.Second, f.store.allRows(), true)
+	m.UpdateLostZones(cut)
 	for _, h := range m.Others() {
 		m.RecordUnresponsive(cut, h.Name)
 	}
+	now := time.Duration(cut)
+	for ; now < cut+2*time.Second; now += gossipStep {
+		assert.Equal(t, len(m.UpdateLostZones(now)), 0, "while no zone answers")
+	}
 	for _, answering := range []string{"b1", "a1"} {
-		m.RecordAnswer(cut+2*time.Second, answering)
-		assert.Equal(t, len(m.UpdateLostZones(cut+2*time.Second)), 0, "while %s answers", answering)
+		m.RecordAnswer(now, answering)
+		assert.Equal(t, len(m.UpdateLostZones(now)), 0, "while %s answers", answering)
+	}
+	for end := now + zoneProbePeriod; now <= end; now += gossipStep {
+		assert.Equal(t, len(m.UpdateLostZones(now)), 0, "without new evidence")
+	}
+}
+
+// Guards against a host that was frozen itself and takes a zone for lost right after: two
+// machines of the zone are frozen, too, and the heartbeat to the third expired meanwhile.
+func TestEvidenceFromBeforeOwnFreezeIsForgotten(t *testing.T) {
+	f := newProbedFleet(t, 9, true)
+	h := f.hosts[0] // in z0
+	var z1 []Host
+	for _, other := range h.Others() {
+		if other.Zone == "z1" {
+			z1 = append(z1, other)
+		}
 	}
-	assert.Equal(t, len(m.UpdateLostZones(cut+2*time.Second+zoneProbePeriod)), 0, "without new evidence")
+	h.RecordUnresponsive(f.now, z1[0].Name)
+	h.RecordUnresponsive(f.now, z1[1].Name)
+	h.RecordAnswer(f.now, h.sampleZone("z2", 1, f.rng, nil)[0].Name)
+	assert.Equal(t, len(h.UpdateLostZones(f.now)), 0)
+	f.now += 800 * time.Millisecond
+	h.RecordUnresponsive(f.now, z1[2].Name)
+	assert.Equal(t, len(h.UpdateLostZones(f.now)), 0, "after the freeze")
 }
