--- a/internal/ownership/zoneloss.go
+++ b/internal/ownership/zoneloss.go
@@ -42,7 +42,11 @@
 // once, sooner than each of them would be suspected. One host's silence is weak evidence,
 // as it may be slow or frozen. That several hosts of one zone do not answer, while hosts of
 // the other zones do, is strong.
-type zoneWatch struct{ zones map[string]*zoneContact }
+type zoneWatch struct {
+	zones map[string]*zoneContact
+	// updatedAt is when UpdateLostZones was last called.
+	updatedAt time.Duration
+}
 
 // EnableFastRecovery makes the Machine suspect the hosts of a lost zone together, and count
 // hosts as alive that have just registered.
@@ -66,14 +70,15 @@
 	c.heardAt, c.lost = now, false
 }
 
-// recordProbe records whether a host of the zone has answered a heartbeat of this host.
-func (w *zoneWatch) recordProbe(now time.Duration, h Host, answered bool) {
+// recordProbe records whether a host has answered a heartbeat of this host.
+func (m *Machine) recordProbe(now time.Duration, h Host, answered bool) {
+	w := m.zoneWatch
 	if w == nil {
 		return
 	}
 	c := w.contact(h.Zone)
 	if answered {
-		if len(c.unanswered) >= zoneProbes {
+		if len(c.unanswered) >= min(zoneProbes, m.otherHostsIn(h.Zone)) {
 			w.forgetUnanswered() // this host may have been cut off itself
 		}
 		clear(c.unanswered)
@@ -107,6 +112,10 @@
 	if m.zoneWatch == nil {
 		return nil
 	}
+	if now-m.zoneWatch.updatedAt >= zoneSilence {
+		m.zoneWatch.forgetUnanswered() // this host was frozen: it received nothing either
+	}
+	m.zoneWatch.updatedAt = now
 	zones := m.otherZones()
 	for _, zone := range zones {
 		if c := m.zoneWatch.contact(zone); !c.lost && m.isZoneLost(now, zone, zones) {
@@ -121,17 +130,23 @@
 // every other zone has answered one.
 func (m *Machine) isZoneLost(now time.Duration, zone string, zones []string) bool {
 	c := m.zoneWatch.contact(zone)
+	hosts := m.otherHostsIn(zone)
+	if hosts < minZoneHosts || len(c.unanswered) < min(zoneProbes, hosts) ||
+		now-c.firstUnansweredAt < zoneProbePeriod || now-c.heardAt < zoneSilence {
+		return false
+	}
+	return m.confirmedBy(c.firstUnansweredAt, zone, zones)
+}
+
+// otherHostsIn returns the number of other hosts of the zone.
+func (m *Machine) otherHostsIn(zone string) int {
 	hosts := 0
 	for _, h := range m.Others() {
 		if h.Zone == zone {
 			hosts++
 		}
 	}
-	if hosts < minZoneHosts || len(c.unanswered) < min(zoneProbes, hosts) ||
-		now-c.firstUnansweredAt < zoneProbePeriod || now-c.heardAt < zoneSilence {
-		return false
-	}
-	return m.confirmedBy(c.firstUnansweredAt, zone, zones)
+	return hosts
 }
 
 // confirmedBy reports whether every other zone than the given one has answered this host
