Fix six faults of the usage reporter found in review

Cause and change, each with a test that failed before:

- A step of the estimated time of day needed disagreement for a minute, but the start of the minute survived terms as a reporter and times with readings of a minority only: an hour later the estimate stepped at once, by seconds.
The adjustment of 1 ms a second counted such an hour, too.
TestTimeOfDayDoesNotStepAfterInterruption
- An epoch that the platform had refused was used again when the role was out of sight for a moment and the row did not name the later reporter.
TestRefusedTokenIsNotUsedAgain
- Counts of skipped windows were kept until a write of the row succeeded: 121 windows after ten minutes of lost writes.
TestCountsOfSkippedWindowsAreForgotten
- A report without an answer held back all later ones until they were late.
TestUnansweredReportDoesNotHoldBackOthers
- After a change of usage_window the row's window numbers belonged to another length: with a longer window nothing would have been reported for decades.
The row now names the length.
TestRowOfOtherWindowLengthStartsAnew
- A reporter that was suspended and still held the role took all hosts for gone and closed windows without them.
TestSuspendedReporterAsksBeforeItClosesWindows

--- a/internal/usage/machine.go
+++ b/internal/usage/machine.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
@@ -31,6 +32,9 @@
 	aliveShare    = 0.6
 	cutOffShare   = 0.85
 	cutOffDivisor = 3
+	// maxTickPause is the time between two ticks from which on this process counts as
+	// having been suspended.
+	maxTickPause = 3 * time.Second
 	// rowRetryDelay is the pause after a failed call to the store.
 	rowRetryDelay = 200 * time.Millisecond
 	// minSendDelay and maxSendDelay bound the pause before a report is sent again.
@@ -94,8 +98,13 @@
 	epoch uint64
 	// generation counts the changes of the epoch.
 	generation uint64
-	// since is the start of the phase.
+	// endedEpoch is the highest epoch that is not used any more because a later reporter
+	// exists.
+	endedEpoch uint64
+	// since is the start of the phase, or the end of a suspension in it.
 	since time.Duration
+	// tickedAt is the time of the last Tick.
+	tickedAt time.Duration
 	// record and revision are the row as last read or written by this host.
 	record   Record
 	revision store.Revision
@@ -117,6 +126,8 @@
 	accepted  map[int64]bool
 	sendAt    time.Duration
 	sendDelay time.Duration
+	// unanswered is the window whose report was the last one without an answer.
+	unanswered int64
 }
 
 type process struct {
@@ -152,6 +163,10 @@
 		}
 		return m.out
 	}
+	if pause := now - m.tickedAt; pause > maxTickPause {
+		m.onSuspended(now, pause)
+	}
+	m.tickedAt = now
 	if step := m.time.update(now, countAlive(hosts)); step != 0 {
 		m.decide(Decision{Kind: ClockStepped, Offset: step})
 	}
@@ -161,6 +176,15 @@
 	return m.out
 }
 
+// onSuspended processes a pause in which this process did not run: it knows nothing of
+// the other hosts in that time.
+func (m *Machine) onSuspended(now, pause time.Duration) {
+	for _, h := range m.hosts {
+		h.aliveAt = min(now, h.aliveAt+pause)
+	}
+	m.since = now
+}
+
 func countAlive(hosts []Host) (n int) {
 	for _, h := range hosts {
 		if h.Alive {
@@ -189,10 +213,10 @@
 
 // start forgets what was known in another epoch. The clocks of the hosts stay known.
 func (m *Machine) start(now time.Duration, epoch uint64) {
-	m.epoch = epoch
+	m.epoch, m.tickedAt = epoch, now
 	m.generation++
 	m.rowCall, m.sendCall, m.rowRetryAt, m.sendAt, m.sendDelay = 0, 0, 0, 0, minSendDelay
-	m.answers, m.accepted = map[int64]map[process]answer{}, map[int64]bool{}
+	m.answers, m.accepted, m.unanswered = map[int64]map[process]answer{}, map[int64]bool{}, 0
 	for _, h := range m.hosts {
 		h.asking, h.aliveAt = false, now
 	}
@@ -200,12 +224,18 @@
 		m.setPhase(now, idle)
 		return
 	}
+	if epoch <= m.endedEpoch {
+		m.setPhase(now, stopped)
+		return
+	}
+	m.time.resume(now)
 	m.setPhase(now, reading)
 }
 
 // stop ends the use of the epoch: a later reporter exists.
 func (m *Machine) stop(now time.Duration, kind, reason string, window int64) {
 	m.setPhase(now, stopped)
+	m.endedEpoch = max(m.endedEpoch, m.epoch)
 	m.rowCall, m.sendCall = 0, 0
 	m.decide(Decision{Kind: kind, Window: window, Reason: reason})
 }
@@ -283,6 +313,12 @@
 	}
 	m.decide(Decision{Kind: WindowSkipped, Window: next.Next, Requests: first - next.Next, Reason: "the counts are too old"})
 	next.Next, m.record.Next = first, first
+	m.forgetAnswers()
+}
+
+// forgetAnswers forgets the counts of windows that are fixed or skipped.
+func (m *Machine) forgetAnswers() {
+	maps.DeleteFunc(m.answers, func(w int64, _ map[process]answer) bool { return w < m.record.Next })
 }
 
 // canClose reports whether the counts of a window can be fixed: all hosts have sent
@@ -341,16 +377,23 @@
 	return sum
 }
 
-// stepSend sends the oldest report that has not been accepted.
+// stepSend sends a report that has not been accepted: the oldest one, or the one after
+// that whose answer is missing, so that it does not hold back the others.
 func (m *Machine) stepSend(now time.Duration) {
 	if m.phase != reporting || m.sendCall != 0 || now < m.sendAt || now+m.storeOffset < m.record.ActAfterStore {
 		return
 	}
-	for _, f := range m.record.Fixed {
-		if !m.accepted[f.Window] {
-			m.sendCall = m.nextCall()
-			m.do(Send{Call: m.sendCall, Counts: f, Epoch: m.epoch})
-			return
+	var next *Counts
+	for i, f := range m.record.Fixed {
+		if m.accepted[f.Window] {
+			continue
+		}
+		if next == nil || next.Window <= m.unanswered && f.Window > m.unanswered {
+			next = &m.record.Fixed[i]
 		}
 	}
+	if next != nil {
+		m.sendCall = m.nextCall()
+		m.do(Send{Call: m.sendCall, Counts: *next, Epoch: m.epoch})
+	}
 }
--- a/internal/usage/record.go
+++ b/internal/usage/record.go
@@ -26,6 +26,8 @@
 	Former []Former `json:"former,omitempty"`
 	// TrueMinusStore is the true time minus the store's clock, 0 if not known.
 	TrueMinusStore time.Duration `json:"true_minus_store"`
+	// Window is the length of the windows that Next and Fixed number.
+	Window time.Duration `json:"window,omitempty"`
 	// Next is the first window whose counts are not fixed, 0 before the first one.
 	Next int64 `json:"next"`
 	// Fixed are the windows whose counts are fixed and that may not have been accepted,
--- a/internal/usage/results.go
+++ b/internal/usage/results.go
@@ -37,6 +37,11 @@
 	if !decoded && r.Revision != 0 {
 		m.decide(Decision{Kind: RecordUnusable})
 	}
+	if record.Next != 0 && record.Window != m.settings.Window {
+		m.decide(Decision{Kind: RecordUnusable, Window: record.Next, Reason: "usage_window was changed"})
+		record.Next, record.Fixed = 0, nil
+	}
+	record.Window = m.settings.Window
 	if record.Epoch > m.epoch {
 		m.stop(now, ReporterSuperseded, "the row has a later epoch", record.Next)
 		return m.out
@@ -89,7 +94,7 @@
 			m.setPhase(now, reporting)
 			m.decide(Decision{Kind: ReporterStarted, Window: m.record.Next})
 		}
-		maps.DeleteFunc(m.answers, func(w int64, _ map[process]answer) bool { return w < m.record.Next })
+		m.forgetAnswers()
 		maps.DeleteFunc(m.accepted, func(w int64, _ bool) bool {
 			return !slices.ContainsFunc(m.record.Fixed, func(f Counts) bool { return f.Window == w })
 		})
@@ -172,7 +177,7 @@
 	switch o {
 	case Accepted:
 		m.accepted[window] = true
-		m.sendAt, m.sendDelay = now, minSendDelay
+		m.sendAt, m.sendDelay, m.unanswered = now, minSendDelay, 0
 		m.decide(Decision{Kind: WindowReported, Window: window, Offset: late})
 		if late > m.settings.Late {
 			m.decide(Decision{Kind: WindowLate, Window: window, Offset: late})
@@ -180,7 +185,7 @@
 	case Refused:
 		m.stop(now, ReportRefused, "the platform has seen a higher fencing token", window)
 	default:
-		m.sendAt = now + m.sendDelay
+		m.sendAt, m.unanswered = now+m.sendDelay, window
 		m.sendDelay = min(2*m.sendDelay, maxSendDelay)
 	}
 	return m.out
--- a/internal/usage/timeofday.go
+++ b/internal/usage/timeofday.go
@@ -47,7 +47,7 @@
 
 // record records the time of day of a host, as an offset to the clock of this host.
 func (t *timeOfDay) record(now time.Duration, host string, offset time.Duration) {
-	if t.samples == nil {
+	if len(t.samples) == 0 {
 		t.samples, t.firstSampleAt = map[string]timeSample{}, now
 	}
 	t.samples[host] = timeSample{offset, now}
@@ -67,6 +67,11 @@
 	t.firm = true
 }
 
+// resume begins a term of this host as the reporter.
+func (t *timeOfDay) resume(now time.Duration) {
+	t.adjustedAt, t.disagreesSince = now, 0
+}
+
 // median returns the median of the recent readings, and their number.
 func (t *timeOfDay) median(now time.Duration) (offset time.Duration, n int) {
 	var offsets []time.Duration
@@ -122,6 +127,7 @@
 	switch {
 	case 2*n <= hosts:
 		// The readings of a minority do not outweigh an estimate.
+		t.disagreesSince = 0
 	case t.disagreesSince == 0:
 		t.disagreesSince = now
 	case now-t.disagreesSince >= stepAfter:
