Refuse an epoch that another machine has written into the usage row

Cause: epochs of a role start at 1 when its row is lost. A new reporter was superseded by the usage row, asked for new epochs and, on reaching the one of the row, took the row for its own: two machines with one fencing token. Change: the same epoch of another machine ends the use of the epoch. Evidence: TestEpochOfOtherMachineIsNotUsed failed before; go test and go test -race -short of internal/usage pass.

--- a/internal/usage/results.go
+++ b/internal/usage/results.go
@@ -42,9 +42,13 @@
 		record.Next, record.Fixed = 0, nil
 	}
 	record.Window = m.settings.Window
-	if record.Epoch > m.epoch {
+	switch {
+	case record.Epoch > m.epoch:
 		m.stop(now, ReporterSuperseded, "the row has a later epoch", record.Next)
 		return m.out
+	case record.Epoch == m.epoch && record.Machine != m.settings.Machine:
+		m.stop(now, ReporterSuperseded, "another machine has used the epoch", record.Next)
+		return m.out
 	}
 	m.record, m.revision = record, r.Revision
 	m.storeOffset = r.Stamp - (r.Sent+r.Received)/2
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -233,3 +233,18 @@
 	}
 	firstAction[WriteRow](t, m.Tick(now, 7, hosts))
 }
+
+// Guards against a token that two hosts use: the epochs of a role whose row was lost start
+// anew and reach the one that another host has written into the reporter's row.
+func TestEpochOfOtherMachineIsNotUsed(t *testing.T) {
+	m := NewMachine(Settings{Window: testWindow, Late: testLate, Lease: testLease, Machine: "a"})
+	now, row := time.Hour, reporterRow(time.Hour)
+	row.Epoch = 7
+	read := firstAction[ReadRow](t, m.Tick(now, 7, nil))
+	m.OnRead(now, read.Call, RowRead{Value: row.encode(), Revision: 5, Stamp: now, Sent: now, Received: now}, true)
+	assert.Equal(t, m.phase, stopped)
+	adopt(t, m, now+testLease, row, 5, 8)
+	row.Machine = "a"
+	m, _ = startReporter(t, row, 5, 7) // its own write, whose answer was lost
+	assert.Equal(t, m.revision, store.Revision(5))
+}
