Eject for overdue answers only after a silence of the server

Cause: each overdue answer counted as a failure if no other statement had been answered since it was sent. A server that is eight times slower and runs two or three statements at a time meets that often, and so do deadlines that were short on arrival. The ejection moved its reads to the other replicas. Change: overdue answers count once the server has answered nothing for 350 ms since the first overdue statement was sent. Probes count as before.

--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -27,6 +27,10 @@
 	// minFailures is the number of failures in the window below which chance may explain
 	// the share.
 	minFailures = 5
+	// minSilence is the time without any answer from which on overdue answers count as
+	// failures. It tells a server without answers from a slow one that is little used, and
+	// from deadlines that were short on arrival.
+	minSilence = 350 * time.Millisecond
 	// baseEjection and maxEjection bound an ejection. Each further one lasts twice as
 	// long, until the server has served without an ejection for calmPeriod.
 	baseEjection = time.Second
@@ -98,8 +102,10 @@
 type Detector struct {
 	state State
 	ring  [buckets]bucket
-	// lastSuccess is the time of the last answer.
-	lastSuccess time.Duration
+	// lastSuccess is the time of the last answer, silentSince the time at which the first
+	// statement was sent that is overdue since then, if silent is set.
+	lastSuccess, silentSince time.Duration
+	silent                   bool
 	// until is the end of the ejection, level the number of ejections that count for the
 	// length of the next one, and calmSince the time since which none has been.
 	until     time.Duration
@@ -153,7 +159,7 @@
 func (d *Detector) RecordSuccess(now time.Duration, customer string) (Change, bool) {
 	d.advance(now)
 	d.bucketAt(now, customer).requests++
-	d.lastSuccess = now
+	d.lastSuccess, d.silent = now, false
 	if d.state != Probing {
 		return Change{}, false
 	}
@@ -167,11 +173,18 @@
 }
 
 // RecordOverdue records that a statement, sent at sent, got no answer in time. It is a
-// failure only if the server has answered no other statement since.
+// failure only if the server has answered no other statement since, and none for
+// minSilence. The outcome of a probe is always one.
 func (d *Detector) RecordOverdue(now, sent time.Duration, customer string, g Group) (Change, bool) {
 	if d.lastSuccess > sent {
 		return Change{}, false
 	}
+	if !d.silent {
+		d.silent, d.silentSince = true, sent
+	}
+	if d.State(now) == Serving && now-d.silentSince < minSilence {
+		return Change{}, false
+	}
 	return d.RecordFailure(now, customer, g)
 }
 
