Queue reads without an alternative at a paced server, free unsent probes

Cause: (1) the last replica refused a read beyond its pace at once, so with all replicas paced the reads went to the primary. (2) A read admitted as a probe and refused before it was sent, by the pace, the cold limit or for want of a connection, kept the place of the probe for 500 ms. Change: (1) a read whose wait is limited by its deadline alone has no alternative and waits within the pace, as docs/design/supervision.md says. (2) such a read gives its place back. Evidence: TestReadWithoutAlternativeWaitsWithinThePace and TestProbeThatIsNotSentLeavesItsPlace failed before; TestReadAtTheLastReplica... guards what the home host relies on.

--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -61,16 +61,21 @@
 	if err := p.admitSupervised(c.req.GetPrimary()); err != nil {
 		return err
 	}
-	if err := p.admitPaced(c.req.GetPrimary()); err != nil {
+	hasAlternative := c.req.GetWaitUs() < c.req.GetTimeoutUs()
+	if err := p.admitPaced(c.req.GetPrimary(), hasAlternative); err != nil {
+		p.cancelProbe(c.req.GetPrimary())
 		return err
 	}
 	if !p.admitCold() {
+		p.cancelProbe(c.req.GetPrimary())
 		return verdict.New(verdict.NotRun, verdict.QueueFull, "backend server %s is cold and limited to %.0f requests per second", server, p.coldRate())
 	}
 	id, conn, err := c.acquire(p)
 	if err != nil {
 		if verdict.From(err).Reason == verdict.BackendUnreachable {
 			p.recordOutcome(c.req, statement.Kind(c.req.GetKind()), c.began, err)
+		} else {
+			p.cancelProbe(c.req.GetPrimary())
 		}
 		return err
 	}
--- a/internal/executor/pace.go
+++ b/internal/executor/pace.go
@@ -23,8 +23,9 @@
 }
 
 // admitPaced refuses a read beyond the pace of the server, so that it goes to another
-// server at once. Requests of the primary wait for a slot instead.
-func (p *serverPool) admitPaced(primary bool) error {
+// server at once. Requests of the primary and reads without an alternative wait for a slot
+// instead.
+func (p *serverPool) admitPaced(primary, hasAlternative bool) error {
 	if !p.x.opt.Supervision.Enabled {
 		return nil
 	}
@@ -39,7 +40,7 @@
 		return nil
 	}
 	l := p.dispatcher.Load(now)
-	if p.pace.RecordDemand(now, l.Running+l.Waiting) || primary {
+	if p.pace.RecordDemand(now, l.Running+l.Waiting) || primary || !hasAlternative {
 		return nil
 	}
 	p.x.opt.Counters.Add("reads_refused_pace", 1)
--- a/internal/executor/supervision.go
+++ b/internal/executor/supervision.go
@@ -61,6 +61,16 @@
 	return verdict.New(verdict.NotRun, verdict.QueueFull, "backend server %s is ejected", p.server.Name)
 }
 
+// cancelProbe records that a read that admitSupervised admitted was not sent.
+func (p *serverPool) cancelProbe(primary bool) {
+	if !p.x.opt.Supervision.Enabled || primary {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.detector.CancelProbe()
+}
+
 // recordOutcome tells the detector and the pace how the server answered a statement of
 // the given kind that was sent at sent. err is nil for a success.
 func (p *serverPool) recordOutcome(req *peerpb.ExecuteRequest, kind statement.Kind, sent time.Duration, err error) {
--- a/internal/executor/supervision_test.go
+++ b/internal/executor/supervision_test.go
@@ -1,10 +1,13 @@
 package executor
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -72,3 +75,63 @@
 	close(release)
 	<-done
 }
+
+// holdStatement runs the request with another text and keeps it running until the returned
+// function is called.
+func (f *fixture) holdStatement(req *peerpb.ExecuteRequest) (release func()) {
+	running, released, done := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	req.Text += " held"
+	text := req.Text
+	f.server.mu.Lock()
+	f.server.dropsAnswer = func(cmd statement.Command) bool {
+		if cmd.Text == text {
+			f.server.mu.Unlock()
+			close(running)
+			<-released
+			f.server.mu.Lock()
+		}
+		return false
+	}
+	f.server.mu.Unlock()
+	go func() {
+		defer close(done)
+		f.do(req)
+	}()
+	<-running
+	return func() {
+		close(released)
+		<-done
+	}
+}
+
+// Guards against an ejection that lasts longer because a read that was to be a probe was
+// never sent.
+func TestProbeThatIsNotSentLeavesItsPlace(t *testing.T) {
+	f := newFixture(t)
+	f.x.opt.Supervision = Supervision{Enabled: true, Loads: serverload.NewTable()}
+	p, err := f.x.pool("db")
+	assert.NilError(t, err)
+	p.detector.Inherit(f.x.opt.Clock())
+	f.server.idleConnsClosed = true
+	f.wantFailure(f.do(read()), verdict.NotRun, verdict.ConnectionLost)
+	f.server.mu.Lock()
+	f.server.idleConnsClosed = false
+	f.server.mu.Unlock()
+	r := f.do(read())
+	assert.Assert(t, r.GetFailure() == nil, r.GetFailure().GetMessage())
+}
+
+// Guards against reads that leave the last replica for the primary, or are refused, while
+// all replicas are paced: a read whose wait is limited by its deadline alone has no
+// alternative and waits within the limit.
+func TestReadWithoutAlternativeWaitsWithinThePace(t *testing.T) {
+	f := newFixture(t)
+	f.x.opt.Supervision = Supervision{Enabled: true, Loads: serverload.NewTable()}
+	release := f.holdStatement(read())
+	last := read()
+	last.Customer, last.Server, last.Group = "c", "db", "g"
+	last.TimeoutUs, last.WaitUs = (2 * time.Second).Microseconds(), (2 * time.Second).Microseconds()
+	time.AfterFunc(50*time.Millisecond, release)
+	r := f.x.Execute(context.Background(), last)
+	assert.Assert(t, r.GetFailure() == nil, r.GetFailure().GetMessage())
+}
--- a/internal/frontend/byload_test.go
+++ b/internal/frontend/byload_test.go
@@ -40,3 +40,35 @@
 		assert.Assert(t, !call.req.GetPrimary(), "a read at the primary while a replica has room")
 	}
 }
+
+// Guards against a read that the home host of the last replica takes for one that has an
+// alternative, and refuses while the server is paced: its wait is limited by its deadline
+// alone.
+func TestReadAtTheLastReplicaMayWaitUntilItsDeadline(t *testing.T) {
+	x := newFixture(t)
+	x.f.opt.RouteByLoad = true
+	x.sample(40)
+	asked := map[string]bool{}
+	last := 0
+	x.fleet.answer = func(_ string, req *peerpb.ExecuteRequest) (*peerpb.ExecuteResponse, error) {
+		if req.GetPrimary() {
+			return nil, nil
+		}
+		first := len(asked) == 0
+		asked[req.GetServer()] = true
+		if first {
+			assert.Check(t, req.GetWaitUs() < req.GetTimeoutUs())
+			return failureResponse(verdict.NotRun, verdict.QueueFull), nil
+		}
+		last++
+		assert.Check(t, req.GetWaitUs() == req.GetTimeoutUs(), "%d of %d µs", req.GetWaitUs(), req.GetTimeoutUs())
+		return nil, nil
+	}
+	c := x.open("bounded")
+	for range 10 {
+		clear(asked)
+		r := c.do(statement.Read, "READ a")
+		assert.Assert(t, r.Err == nil, "%v", r.Err)
+	}
+	assert.Assert(t, last > 0)
+}
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -154,6 +154,14 @@
 	return true
 }
 
+// CancelProbe records that a read that AdmitRead admitted was not sent, so that another
+// one can be the probe.
+func (d *Detector) CancelProbe() {
+	if d.state == Probing && len(d.probes) > 0 {
+		d.probes = d.probes[:len(d.probes)-1]
+	}
+}
+
 // RecordSuccess records an answer of the server, whether or not the request succeeded
 // for its caller. It returns the change of the state, if any.
 func (d *Detector) RecordSuccess(now time.Duration, customer string) (Change, bool) {
