End an ejection beyond the cap with the first failed probe

Cause: two homes that ejected at the same moment passed the cap; a failed probe ejected again without asking it, so both replicas stayed out and all reads went to the primary. Change: a probe that fails while others of the group fill the cap lets the server serve; an ejection that no other is beyond stays as it was. Evidence: TestFailedProbeEndsAnEjectionBeyondTheCap failed before.

--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -206,7 +206,12 @@
 	b.failed.add(customer)
 	if d.state == Probing {
 		d.endProbe()
-		return d.eject(now), true
+		if g.OthersEjected == 0 || g.allowsEjection() {
+			return d.eject(now), true
+		}
+		requests, failures, _ := d.window(now)
+		d.state, d.calmSince, d.cappedAt, d.probes = Serving, now, now, nil
+		return Change{State: Serving, Capped: true, Failures: failures, Requests: requests}, true
 	}
 	if d.state != Serving {
 		return Change{}, false
--- a/internal/supervise/supervise_test.go
+++ b/internal/supervise/supervise_test.go
@@ -111,3 +111,16 @@
 	assert.Assert(t, Group{Servers: 2}.allowsEjection())
 	assert.Assert(t, !Group{Servers: 1}.allowsEjection())
 }
+
+// Guards against two servers of a group that are ejected at the same moment, past the cap,
+// and stay out while a probe of each fails now and then: all reads would go to the primary.
+func TestFailedProbeEndsAnEjectionBeyondTheCap(t *testing.T) {
+	d := &Detector{}
+	d.Inherit(time.Second)
+	assert.Assert(t, d.AdmitRead(time.Second))
+	c, changed := d.RecordFailure(time.Second, "a", Group{Servers: 3, OthersEjected: 1})
+	assert.Assert(t, changed && c.Capped)
+	assert.Equal(t, c.State, Serving)
+	assert.Assert(t, d.AdmitRead(time.Second))
+	assert.Assert(t, d.AdmitRead(time.Second), "more than probes")
+}
