Start a restarted server low although its former load is known

Cause: newPace takes the load of the last 2 s for that of the running server; after a restart within that time the new pool allowed all slots. Change: the pool that replaces one of another incarnation starts low. Evidence: TestRestartedServerStartsLow failed before.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -197,8 +197,15 @@
 		ok = false
 	}
 	if !ok {
+		restarted := p != nil
 		p = newServerPool(x, s)
 		x.pools[name] = p
+		if restarted && x.opt.Supervision.Enabled {
+			p.withDispatcher(func(now time.Duration) []backend.Action {
+				p.restartPace(now, "restarted")
+				return nil
+			})
+		}
 	} else if dispatcherSettings(s) != dispatcherSettings(p.server) {
 		p.server.Slots, p.server.Connections = s.Slots, s.Connections
 		p.configure(dispatcherSettings(s))
--- a/internal/executor/supervision_test.go
+++ b/internal/executor/supervision_test.go
@@ -135,3 +135,20 @@
 	r := f.x.Execute(context.Background(), last)
 	assert.Assert(t, r.GetFailure() == nil, r.GetFailure().GetMessage())
 }
+
+// Guards against a server that restarts and gets all its slots at once, because its load
+// from before the restart is still known.
+func TestRestartedServerStartsLow(t *testing.T) {
+	f := newFixture(t)
+	loads := serverload.NewTable()
+	f.x.opt.Supervision = Supervision{Enabled: true, Loads: loads}
+	loads.Record(serverload.Load{Server: "db", Slots: 6, MeasuredAt: f.x.opt.Clock()})
+	p, err := f.x.pool("db")
+	assert.NilError(t, err)
+	assert.Assert(t, p.pace.IsFull(), "the former home host knew the server at full pace")
+	p.server.Incarnation++
+	p, err = f.x.pool("db")
+	assert.NilError(t, err)
+	assert.Assert(t, !p.pace.IsFull())
+	assert.Equal(t, p.settings.Slots, p.pace.Allowed())
+}
