--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -27,6 +27,10 @@
 	// minFailures is the number of failures in the window below which chance may explain
 	// the share.
 	minFailures = 5
+	// minSilence is the time without any answer from which on overdue answers count as
+	// failures. It tells a server without answers from a slow one that is little used, and
+	// from deadlines that were short on arrival.
+	minSilence = 350 * time.Millisecond
 	// baseEjection and maxEjection bound an ejection. Each further one lasts twice as
 	// long, until the server has served without an ejection for calmPeriod.
 	baseEjection = time.Second
@@ -98,8 +102,10 @@
 type Detector struct {
 	state State
 	ring  [buckets]bucket
-	// lastSuccess is the time of the last answer.
-	lastSuccess time.Duration
+	// lastSuccess is the time of the last answer, silentSince the time at which the first
+	// statement was sent that is overdue since then, if silent is set.
+	lastSuccess, silentSince time.Duration
+	silent                   bool
 	// until is the end of the ejection, level the number of ejections that count for the
 	// length of the next one, and calmSince the time since which none has been.
 	until     time.Duration
@@ -148,12 +154,20 @@
 	return true
 }
 
+// CancelProbe records that a read that AdmitRead admitted was not sent, so that another
+// one can be the probe.
+func (d *Detector) CancelProbe() {
+	if d.state == Probing && len(d.probes) > 0 {
+		d.probes = d.probes[:len(d.probes)-1]
+	}
+}
+
 // RecordSuccess records an answer of the server, whether or not the request succeeded
 // for its caller. It returns the change of the state, if any.
 func (d *Detector) RecordSuccess(now time.Duration, customer string) (Change, bool) {
 	d.advance(now)
 	d.bucketAt(now, customer).requests++
-	d.lastSuccess = now
+	d.lastSuccess, d.silent = now, false
 	if d.state != Probing {
 		return Change{}, false
 	}
@@ -167,11 +181,18 @@
 }
 
 // RecordOverdue records that a statement, sent at sent, got no answer in time. It is a
-// failure only if the server has answered no other statement since.
+// failure only if the server has answered no other statement since, and none for
+// minSilence. The outcome of a probe is always one.
 func (d *Detector) RecordOverdue(now, sent time.Duration, customer string, g Group) (Change, bool) {
 	if d.lastSuccess > sent {
 		return Change{}, false
 	}
+	if !d.silent {
+		d.silent, d.silentSince = true, sent
+	}
+	if d.State(now) == Serving && now-d.silentSince < minSilence {
+		return Change{}, false
+	}
 	return d.RecordFailure(now, customer, g)
 }
 
@@ -185,7 +206,12 @@
 	b.failed.add(customer)
 	if d.state == Probing {
 		d.endProbe()
-		return d.eject(now), true
+		if g.OthersEjected == 0 || g.allowsEjection() {
+			return d.eject(now), true
+		}
+		requests, failures, _ := d.window(now)
+		d.state, d.calmSince, d.cappedAt, d.probes = Serving, now, now, nil
+		return Change{State: Serving, Capped: true, Failures: failures, Requests: requests}, true
 	}
 	if d.state != Serving {
 		return Change{}, false
