Mend accounts that drift and closes that lose answers

Found by a review of the limits of clients.

* Frames and TLS records of large messages between hosts stayed counted in `peers`: 3 KB for each message of 1 MiB, until the connection was closed with all its calls.
They are taken off with the message.
* A session could be chosen to be closed for its state while a statement arrived; the statement ran and its answer was lost.
The choice and the start of a statement now exclude each other.
TestStatementBeatsClose covers the new functions; the window itself was found by reading.
* Prepared statements of PostgreSQL sessions stayed counted in `state` after Close and DEALLOCATE.
* A home host could refuse COMMIT for the size of the session's values; the transaction then held its connection and locks until the idle limit.
The end of an open transaction needs no reservation.
* The peer port of the line-protocol hosts takes 8 MiB, but the values of a session could be larger where the memory is large; each statement at another host was then in doubt although it had not run.
Values are limited to 4 MiB a session.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -76,11 +76,19 @@
 
 // Lease is the part of the budget that one connection uses. A nil Lease has no limits.
 type Lease struct {
-	b    *Budget
-	h    holder
-	busy atomic.Bool
+	b        *Budget
+	h        holder
+	activity atomic.Int32
 }
 
+// The values of Lease.activity.
+const (
+	activityIdle int32 = iota
+	activityBusy
+	// activityClosing means that the idle session was chosen to be closed for its state.
+	activityClosing
+)
+
 // Open returns the lease of a connection. owner is its customer or address; closeConn
 // closes the connection and must not block. A nil Budget returns a nil Lease.
 func (b *Budget) Open(owner string, closeConn func()) *Lease {
@@ -88,7 +96,9 @@
 		return nil
 	}
 	l := &Lease{b: b}
-	l.h.owner, l.h.close, l.h.idle = owner, closeConn, func() bool { return !l.busy.Load() }
+	l.h.owner, l.h.close = owner, closeConn
+	l.h.idle = func() bool { return l.activity.Load() == activityIdle }
+	l.h.claim = func() bool { return l.activity.CompareAndSwap(activityIdle, activityClosing) }
 	return l
 }
 
@@ -188,11 +198,17 @@
 	}
 }
 
-// SetBusy records whether a statement or a transaction is under way.
-func (l *Lease) SetBusy(busy bool) {
-	if l != nil {
-		l.busy.Store(busy)
+// SetBusy records whether a statement or a transaction is under way. It returns false if
+// the idle session is being closed for its state; nothing may run on it then.
+func (l *Lease) SetBusy(busy bool) bool {
+	if l == nil {
+		return true
+	}
+	from, to := activityBusy, activityIdle
+	if busy {
+		from, to = to, from
 	}
+	return l.activity.CompareAndSwap(from, to) || l.activity.Load() == to
 }
 
 // Close gives everything back.
--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -54,9 +54,10 @@
 	held  [accounts]int64
 	// since is when the holder last held nothing of the account.
 	since [accounts]time.Duration
-	// idle reports whether no statement or transaction is under way; close closes the
-	// connection.
+	// idle reports whether no statement or transaction is under way. claim reports the same
+	// and keeps new ones from starting. close closes the connection.
 	idle  func() bool
+	claim func() bool
 	close func()
 	// closed is set when the holder was closed; it gets nothing more.
 	closed bool
@@ -105,6 +106,9 @@
 		if v == nil {
 			return closed, false
 		}
+		if r.idleOnly && !v.claim() {
+			continue // a statement has arrived since
+		}
 		v.closed = true
 		l.drop(v)
 		closed = append(closed, v)
--- a/internal/budget/ledger_test.go
+++ b/internal/budget/ledger_test.go
@@ -5,10 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	_ "github.com/cranberryhinge/cranberryhinge/internal/fixedseed"
+	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 )
 
 const testMemory = 100 << 20
@@ -22,7 +24,8 @@
 }
 
 func (b *book) connect(owner string) {
-	b.h = &holder{owner: owner, idle: func() bool { return !b.busy }}
+	idle := func() bool { return !b.busy }
+	b.h = &holder{owner: owner, idle: idle, claim: idle}
 }
 
 // playLedger plays random reservations of a few customers and returns the first breach of
@@ -143,14 +146,14 @@
 	idle := func() bool { return true }
 	var crowd []*holder
 	for i := range 8 {
-		h := &holder{owner: []string{"a", "b"}[i%2], idle: idle}
+		h := &holder{owner: []string{"a", "b"}[i%2], idle: idle, claim: idle}
 		_, ok := l.reserve(0, h, State, 1<<20)
 		assert.Assert(t, ok)
 		crowd = append(crowd, h)
 	}
-	small := &holder{owner: "10.0.0.1", idle: idle}
+	small := &holder{owner: "10.0.0.1", idle: idle, claim: idle}
 	l.setOwner(small, "c")
-	_, ok := l.reserve(0, &holder{owner: "c", idle: idle}, State, 1<<20)
+	_, ok := l.reserve(0, &holder{owner: "c", idle: idle, claim: idle}, State, 1<<20)
 	assert.Assert(t, !ok, "a large newcomer replaced an equal one")
 	closed, ok := l.reserve(0, small, State, 20<<10)
 	assert.Assert(t, ok)
@@ -160,3 +163,28 @@
 	assert.Equal(t, l.used[State], int64(7<<20+20<<10))
 	assert.Equal(t, len(crowd), 8)
 }
+
+// Guards against a session that is closed for its state after a statement has arrived,
+// which would run and lose its answer.
+func TestStatementBeatsClose(t *testing.T) {
+	var l *ledger
+	victim := &Lease{}
+	victim.h = holder{owner: "a", idle: func() bool { return victim.activity.Load() == activityIdle }}
+	victim.h.claim = func() bool {
+		assert.Assert(t, victim.SetBusy(true)) // the statement arrives after the choice
+		return victim.activity.CompareAndSwap(activityIdle, activityClosing)
+	}
+	l = newLedger(testMemory)
+	_, ok := l.reserve(0, &victim.h, State, 4<<20)
+	assert.Assert(t, ok)
+	closed, ok := l.reserve(0, &holder{owner: "a"}, State, 20<<10)
+	assert.Assert(t, !ok && len(closed) == 0)
+
+	b := New(testMemory, func() time.Duration { return 0 }, &log.Logger{Level: log.PanicLevel}, telemetry.NewCounters())
+	isClosed := false
+	idle := b.Open("a", func() { isClosed = true })
+	assert.Assert(t, idle.Reserve(State, 4<<20))
+	assert.Assert(t, b.Open("a", nil).Reserve(State, 20<<10))
+	assert.Assert(t, isClosed)
+	assert.Assert(t, !idle.SetBusy(true), "a statement began on a closed session")
+}
--- a/internal/budget/listener.go
+++ b/internal/budget/listener.go
@@ -123,18 +123,27 @@
 	return true
 }
 
-// requestOverheadBytes is the size of the frames and headers of a request that are not
-// part of its message.
-const requestOverheadBytes = 512
+const (
+	// requestOverheadBytes is the size of the headers of a request that are not part of its
+	// message.
+	requestOverheadBytes = 512
+	// framingRatio is the size of a message relative to that of its HTTP/2 frames and TLS
+	// records. Without them, a connection that carries large messages would seem to hold more
+	// with each of them.
+	framingRatio = 128
+)
 
 // Delivered records that a request of n bytes was received whole.
 func (c *Conn) Delivered(n int) {
 	if c.lease == nil {
 		return
 	}
-	left := c.pending.Add(-int64(n + requestOverheadBytes))
-	if left < 0 {
-		c.pending.CompareAndSwap(left, 0)
+	size := int64(n + n/framingRatio + requestOverheadBytes)
+	for {
+		pending := c.pending.Load()
+		if c.pending.CompareAndSwap(pending, max(0, pending-size)) {
+			break
+		}
 	}
 	c.reserve() // gives back, which never fails
 }
--- a/internal/budget/listener_test.go
+++ b/internal/budget/listener_test.go
@@ -78,3 +78,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, counters.Get("memory_peers_closed"), int64(1))
 }
+
+// Guards against frames and records of large messages that stay counted, until the
+// connection and all its calls are closed.
+func TestFramingIsNotPending(t *testing.T) {
+	b := New(10<<20, func() time.Duration { return 0 }, &log.Logger{Level: log.PanicLevel}, telemetry.NewCounters())
+	client, server := connect(t, listen(t, 10, b))
+	const (
+		message = 1 << 19
+		// Data frames of 16 KiB and TLS records of 8 KiB, with their overheads.
+		framing = message/(16<<10)*9 + message/(8<<10)*22
+	)
+	for range 200 {
+		go func() { _, _ = client.Write(make([]byte, message+framing)) }()
+		_, err := io.ReadFull(server, make([]byte, message+framing))
+		assert.NilError(t, err)
+		server.Delivered(message)
+	}
+	assert.Equal(t, server.pending.Load(), int64(0))
+	assert.Equal(t, b.ledger.used[Peers], int64(0))
+}
--- a/internal/entry/client.go
+++ b/internal/entry/client.go
@@ -40,8 +40,10 @@
 	lease                             *budget.Lease
 	reservedInput, reservedStatements int
 	reservedState, addedState         int
-	processID                         uint32
-	secret                            uint32
+	// countedStatements is the number of prepared statements after the last batch.
+	countedStatements int
+	processID         uint32
+	secret            uint32
 	// routeName never changes; the client's goroutine refreshes route from the
 	// configuration in force.
 	routeName string
@@ -119,10 +121,30 @@
 	if batchEnded {
 		c.lease.Release(budget.Statements, c.reservedStatements)
 		c.reservedStatements = 0
+		c.releaseClosedStatements()
 	}
 	c.lease.SetBusy(!idle)
 }
 
+// releaseClosedStatements gives back what prepared statements held that the batch has
+// closed.
+func (c *client) releaseClosedStatements() {
+	if c.reservedState == 0 {
+		return
+	}
+	c.mu.Lock()
+	count := c.machine.StatementCount()
+	fewer := count < c.countedStatements
+	c.countedStatements = count
+	left := c.reservedState
+	if fewer {
+		left = min(left, c.machine.StatementBytes())
+	}
+	c.mu.Unlock()
+	c.lease.Release(budget.State, c.reservedState-left)
+	c.reservedState = left
+}
+
 func (c *client) setHandlingMessage(on bool) {
 	c.mu.Lock()
 	c.handlingMessage = on
@@ -193,7 +215,9 @@
 		return 0, nil, err
 	}
 	c.setHandlingMessage(true)
-	c.lease.SetBusy(true)
+	if !c.lease.SetBusy(true) {
+		return 0, nil, errSessionEnded
+	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.entry.opts.ClientTimeout))
 	if _, err := io.ReadFull(c.conn, header[1:]); err != nil {
 		return 0, nil, c.incompleteMessageError(err)
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -68,6 +68,12 @@
 	assert.Equal(t, sqlState(err), "53200")
 	_, err = c.Exec(ctx, "a")
 	assert.NilError(t, err)
+	// What closed statements held is free for another session of the customer.
+	assert.NilError(t, c.Deallocate(ctx, "a"))
+	assert.NilError(t, c.Deallocate(ctx, "b"))
+	other := f.connect("w")
+	_, err = other.Prepare(ctx, "a", fits)
+	assert.NilError(t, err)
 	tx := beginTx(t, c)
 	_, err = tx.Exec(ctx, large, pgx.QueryExecModeSimpleProtocol)
 	assert.Equal(t, sqlState(err), "53200")
--- a/internal/frontend/limits_test.go
+++ b/internal/frontend/limits_test.go
@@ -7,9 +7,12 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/budget"
+	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -116,3 +119,20 @@
 	assert.Equal(t, s.state(), statement.Failed)
 	assert.Equal(t, len(x.fleet.recordedCalls()), 0)
 }
+
+// Guards against values that no message to a home host can carry, so that each later
+// statement of the session would seem to be in doubt.
+func TestValuesFitIntoMessageBetweenHosts(t *testing.T) {
+	s := newSession(newFixture(t).f, nil, nil)
+	megabyte := strings.Repeat("x", 1<<20)
+	var refused *verdict.Error
+	for i := 0; i < 10 && refused == nil; i++ {
+		refused = s.set(statement.Statement{Name: fmt.Sprint("v", i), Arguments: megabyte}).Err
+	}
+	assert.Assert(t, refused != nil)
+	assert.Equal(t, refused.Verdict, verdict.NotRun)
+	o := s.newOperation(statement.Statement{
+		Kind: statement.Execute, Text: megabyte, Arguments: megabyte, Shape: statement.Shape{Text: megabyte},
+	}, config.Route{}, 0)
+	assert.Assert(t, proto.Size(o.newRequest()) <= peer.MaxTypedMessageBytes)
+}
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -25,6 +25,10 @@
 	// maxSessionEntries limits the number of values, and the number of prepared
 	// statements, of one session.
 	maxSessionEntries = 1000
+	// maxValueBytes limits the size of the values of one session. Each request to a home
+	// host carries them, with up to three texts of 1 MiB, and must stay within
+	// peer.MaxTypedMessageBytes.
+	maxValueBytes = 4 << 20
 )
 
 // session is the session of one client. Its methods run in one goroutine.
@@ -241,7 +245,9 @@
 func (s *session) handleStatement(st statement.Statement) bool {
 	arrived := s.f.opt.Clock()
 	s.client.SetDeadline(time.Time{})
-	s.lease.SetBusy(true)
+	if !s.lease.SetBusy(true) {
+		return false // the client sees the close; nothing of the statement has run
+	}
 	r, closeAfter := s.executeStatement(st, arrived)
 	r.State = s.state()
 	if r.Err != nil {
@@ -357,6 +363,9 @@
 	if !ok {
 		delta += len(st.Name)
 	}
+	if s.valueBytes+delta > maxValueBytes {
+		return s.protocolViolation("the session's values are too large")
+	}
 	if !s.resizeState(delta) {
 		return stateLimitReached()
 	}
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -21,6 +21,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
 	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
+	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -140,14 +141,28 @@
 	Grant(ctx context.Context, req *peerpb.GrantRequest) (*peerpb.GrantResponse, error)
 }
 
+// reservedRequestBytes returns the memory that a request needs a reservation for. The end
+// of an open transaction never does: if it was refused, the transaction would hold its
+// connection and its locks until the idle limit.
+func reservedRequestBytes(req *peerpb.ExecuteRequest) int {
+	kind := statement.Kind(req.GetKind())
+	if req.GetTransaction() != 0 && (kind == statement.Commit || kind == statement.Rollback) {
+		return 0
+	}
+	if size := proto.Size(req); size > budget.SmallBytes {
+		return statementCopies * size
+	}
+	return 0
+}
+
 func (a peerAPI) Execute(ctx context.Context, req *peerpb.ExecuteRequest) (*peerpb.ExecuteResponse, error) {
-	size := proto.Size(req)
-	if size <= budget.SmallBytes {
+	size := reservedRequestBytes(req)
+	if size == 0 {
 		return a.calls.executor.Execute(ctx, req), nil
 	}
 	lease := a.budget.Open(req.GetCustomer(), nil)
 	defer lease.Close()
-	if !lease.Reserve(budget.Statements, statementCopies*size) {
+	if !lease.Reserve(budget.Statements, size) {
 		e := verdict.New(verdict.NotRun, verdict.MemoryLimit, "the home host has no memory for a statement of this size; try again")
 		return &peerpb.ExecuteResponse{Failure: peer.EncodeFailure(e)}, nil
 	}
--- a/internal/session/machine.go
+++ b/internal/session/machine.go
@@ -211,6 +211,9 @@
 	return Step{}, refused
 }
 
+// StatementCount returns the number of prepared statements.
+func (m *Machine) StatementCount() int { return len(m.statements) }
+
 // StatementBytes returns the size of the texts of the prepared statements.
 func (m *Machine) StatementBytes() int {
 	size := 0
