--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -142,6 +142,9 @@
 	for i, address := range []string{l.Client, l.Peer, l.Ready, l.Metrics} {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
+			for _, open := range h.listeners[:i] {
+				_ = open.Close()
+			}
 			return errors.Wrapf(err, "listen on %s", address)
 		}
 		h.listeners[i] = listener
