--- a/internal/home/failure_test.go
+++ b/internal/home/failure_test.go
@@ -47,6 +47,9 @@
 // also sent for another statement.
 func TestOverdueStatementMayHaveRun(t *testing.T) {
 	f := newFixture(t, slots(1))
+	// The deadline must not pass while the first connection is being opened: a request that
+	// is still queued then is refused with NotRun.
+	assert.Assert(t, f.reader(0, nil).query("SELECT 1").result().ready != nil)
 	unblock := f.srv.block("SELECT slow")
 	c := f.start(&peerpb.Start{Intent: peerpb.Intent_INTENT_READ, TimeoutUs: 100_000}).query("SELECT slow")
 	assertFailure(t, c.result(), failureMayHaveRun, verdict.AnswerOverdue)
