Keep a request while its connection is being opened and slots are free

Cause: a waiting request was refused or given up at 1.5 times its latency target also when the server was idle and only its connection was being opened; a customer with a request every 40 s got no answer at all where opening takes 30 ms. Change: the dispatcher keeps, until they cannot meet their deadline, as many expired requests of a customer as it has connections that are being opened, for less than 100 ms, or unused, while slots are free. The executor asks the dispatcher to decide again instead of cancelling.

--- a/internal/backend/connections.go
+++ b/internal/backend/connections.go
@@ -12,6 +12,9 @@
 	// hold, so that clients that rest inside transactions leave connections for single
 	// statements.
 	transactionShare = 0.75
+	// overdueOpening is the time from which on a connection that is being opened is not
+	// expected to open.
+	overdueOpening = 100 * time.Millisecond
 )
 
 // leastValuable reports whether the idle connection a is closed rather than b. With
@@ -58,6 +61,25 @@
 	}
 }
 
+// connsForWaiters returns, by customer, the number of connections that are being opened or
+// unused and that waiting requests can expect to get, which takes free slots.
+func (d *Dispatcher) connsForWaiters(now time.Duration) map[string]int {
+	conns, opening := map[string]int{}, 0
+	for _, c := range d.conns {
+		if c.opening {
+			opening++
+		}
+		if c.opening && now-c.lastUsed < overdueOpening || !c.opening && !c.busy && c.use.sum == 0 {
+			conns[c.customer]++
+		}
+	}
+	// The slot of an opening is free for the request that it is for, unless others wait.
+	if d.slotsInUse >= d.slots() && d.slotsInUse-opening+len(d.queue) > d.slots() {
+		clear(conns)
+	}
+	return conns
+}
+
 // awaitsUse reports whether a connection was opened for a customer whose request still
 // waits for a slot.
 func (d *Dispatcher) awaitsUse(c *dispatchConn) bool {
--- a/internal/backend/contention.go
+++ b/internal/backend/contention.go
@@ -216,11 +216,16 @@
 // service time longer than half of the request's time is taken as half, so that a server
 // that was slow is tried again.
 func (d *Dispatcher) latestStart(r *dispatchRequest) time.Duration {
-	latest := r.since + r.Wait
-	if r.Deadline > 0 {
-		latest = min(latest, r.Deadline-min(d.expectedService(r), (r.Deadline-r.since)/2))
+	return min(r.since+r.Wait, d.deadlineStart(r))
+}
+
+// deadlineStart returns the latest time at which a request may start and still be answered
+// before its deadline.
+func (d *Dispatcher) deadlineStart(r *dispatchRequest) time.Duration {
+	if r.Deadline == 0 {
+		return math.MaxInt64
 	}
-	return latest
+	return r.Deadline - min(d.expectedService(r), (r.Deadline-r.since)/2)
 }
 
 // waiter is a waiting request at its place in the order of EarliestTarget.
@@ -429,17 +434,37 @@
 	d.contention.recent[useLevel(demand.Priority)] = demand
 }
 
-// refuseExpired refuses the new requests whose useful wait has passed.
+// refuseExpired refuses the new requests whose useful wait has passed. It keeps those for
+// which a connection is being opened, or has been and is unused, while slots are free:
+// another server would have to open one, too.
 func (d *Dispatcher) refuseExpired(now time.Duration) {
 	if d.settings.Scheduling != EarliestTarget {
 		return
 	}
+	var conns map[string]int
 	for _, r := range slices.Clone(d.queue) {
-		if r.state == stateWaitingForConn && now >= d.latestStart(r) {
-			d.contention.counts.Expired++
-			d.refuse(r, verdict.DeadlineExceeded, 0)
+		if r.state != stateWaitingForConn || now < d.latestStart(r) {
+			continue
 		}
+		if conns == nil {
+			conns = d.connsForWaiters(now)
+		}
+		if d.isKept(now, r, conns) {
+			continue
+		}
+		d.contention.counts.Expired++
+		d.refuse(r, verdict.DeadlineExceeded, 0)
+	}
+}
+
+// isKept reports whether a request is kept although it will start late, for one of conns,
+// which it takes out.
+func (d *Dispatcher) isKept(now time.Duration, r *dispatchRequest, conns map[string]int) bool {
+	if conns[r.Customer] == 0 || now >= d.deadlineStart(r) || d.heldBack(now, r) {
+		return false
 	}
+	conns[r.Customer]--
+	return true
 }
 
 // refuseUnservable refuses the waiting new requests that cannot be started in time,
@@ -451,8 +476,9 @@
 	d.contention.plannedAt = now
 	waiters := d.plan(now)
 	d.expectWaits(now, waiters)
+	conns := d.connsForWaiters(now)
 	for _, w := range waiters {
-		if w.state == stateWaitingForConn && w.wait > unservableMargin*(d.latestStart(w.dispatchRequest)-now) {
+		if w.state == stateWaitingForConn && w.wait > unservableMargin*(d.latestStart(w.dispatchRequest)-now) && !d.isKept(now, w.dispatchRequest, conns) {
 			d.contention.counts.Unservable++
 			d.refuse(w.dispatchRequest, verdict.DeadlineExpected, w.wait)
 		}
--- a/internal/backend/dispatcher.go
+++ b/internal/backend/dispatcher.go
@@ -404,6 +404,7 @@
 	d.refuseExpired(now)
 	for d.slotsInUse < d.slots() && d.startNext(now) {
 	}
+	d.refuseExpired(now) // those kept for a slot that another request took
 	d.refuseUnservable(now)
 	return d.actions
 }
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -32,6 +32,8 @@
 	resets          int
 	unresponsive    bool
 	idleConnsClosed bool // the server has closed its idle connections
+	dialDelay       time.Duration
+	dialErr         error
 	maxOpen         int
 	open            int
 }
@@ -46,8 +48,12 @@
 }
 
 func (s *fakeServer) Dial(_ context.Context, t statement.Target) (statement.Conn, error) {
+	time.Sleep(s.dialDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.dialErr != nil {
+		return nil, s.dialErr
+	}
 	s.conns++
 	s.open++
 	s.maxOpen = max(s.maxOpen, s.open)
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -23,6 +23,8 @@
 	// probeTimeout limits the wait for the answer of a connection that may be
 	// unresponsive.
 	probeTimeout = 100 * time.Millisecond
+	// minRecheck is the least time after which a waiting request is decided again.
+	minRecheck = 5 * time.Millisecond
 	// maxPrepared limits the prepared statements of a connection.
 	maxPrepared = 200
 )
@@ -170,11 +172,11 @@
 	now := p.x.opt.Clock()
 	p.applyActions(p.dispatcher.Request(now, id, demand))
 	p.mu.Unlock()
-	giveUp := demand.Deadline
+	recheckAfter := demand.Deadline - now
 	if p.x.opt.ContentionControl {
-		giveUp = min(giveUp, now+demand.Wait)
+		recheckAfter = max(demand.Wait, minRecheck)
 	}
-	return p.awaitGrant(ctx, id, w, giveUp)
+	return p.awaitGrant(ctx, id, w, demand.Deadline, recheckAfter)
 }
 
 // resume waits for a slot for the next statement of a request that holds a connection.
@@ -184,21 +186,14 @@
 	p.waiters[id] = w
 	p.applyActions(p.dispatcher.Resume(p.x.opt.Clock(), id))
 	p.mu.Unlock()
-	_, _, err := p.awaitGrant(ctx, id, w, deadline)
+	_, _, err := p.awaitGrant(ctx, id, w, deadline, deadline-p.x.opt.Clock())
 	return err
 }
 
-func (p *serverPool) awaitGrant(ctx context.Context, id backend.RequestID, w chan backend.Action, deadline time.Duration) (backend.RequestID, *conn, error) {
-	t := time.NewTimer(deadline - p.x.opt.Clock())
-	defer t.Stop()
-	var a backend.Action
-	reason := verdict.DeadlineExceeded
-	select {
-	case a = <-w:
-	case <-t.C:
-	case <-ctx.Done():
-		reason = verdict.Cancelled
-	}
+// awaitGrant waits for the dispatcher's decision, and cancels the request at its deadline.
+// It asks the dispatcher to decide again each time that recheckAfter has passed.
+func (p *serverPool) awaitGrant(ctx context.Context, id backend.RequestID, w chan backend.Action, deadline, recheckAfter time.Duration) (backend.RequestID, *conn, error) {
+	a, reason := p.awaitDecision(ctx, w, deadline, recheckAfter)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.waiters, id)
@@ -216,6 +211,27 @@
 	return id, p.conns[a.Conn], nil
 }
 
+// awaitDecision returns the dispatcher's decision, or the reason why there is none.
+func (p *serverPool) awaitDecision(ctx context.Context, w chan backend.Action, deadline, recheckAfter time.Duration) (backend.Action, verdict.Reason) {
+	for {
+		now := p.x.opt.Clock()
+		t := time.NewTimer(min(deadline-now, recheckAfter))
+		select {
+		case a := <-w:
+			t.Stop()
+			return a, ""
+		case <-ctx.Done():
+			t.Stop()
+			return backend.Action{}, verdict.Cancelled
+		case <-t.C:
+		}
+		if p.x.opt.Clock() >= deadline {
+			return backend.Action{}, verdict.DeadlineExceeded
+		}
+		p.withDispatcher(p.dispatcher.Recheck)
+	}
+}
+
 // yieldSlot releases the slot of a request, which keeps its connection.
 func (p *serverPool) yieldSlot(id backend.RequestID) {
 	p.withDispatcher(func(now time.Duration) []backend.Action { return p.dispatcher.Yield(now, id) })
