Let only probes decide while a server is probed

Cause: the detector took any outcome for that of the probe. A statement sent before the ejection, or one at the primary, that failed ejected again and doubled the length, and an answer freed the probe's place and counted for the recovery. An overdue or neutral outcome of the probe left its place taken for 500 ms. Change: a read admitted as a probe carries its number, and EndProbe with the last outcome of its call is the only decision while the server is probed. A probe that was given up still decides its own ejection. The existing tests of supervise and the model of routing give the outcome of a probe with EndProbe instead of RecordSuccess and RecordFailure; their bounds are unchanged.

--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -8,6 +8,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/guard"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/supervise"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
 
@@ -22,6 +23,9 @@
 	pool     *serverPool
 	began    time.Duration
 	deadline time.Duration
+	// probe is set if the read is a probe, probeOutcome is what the last outcome says.
+	probe        supervise.Probe
+	probeOutcome supervise.ProbeOutcome
 }
 
 // socketDeadline converts a time of the executor's clock to a deadline for sockets.
@@ -58,24 +62,21 @@
 		return err
 	}
 	c.pool = p
-	if err := p.admitSupervised(c.req.GetPrimary()); err != nil {
+	if c.probe, err = p.admitSupervised(c.req.GetPrimary()); err != nil {
 		return err
 	}
+	defer c.endProbe(p)
 	hasAlternative := c.req.GetWaitUs() < c.req.GetTimeoutUs()
 	if err := p.admitPaced(c.req.GetPrimary(), hasAlternative); err != nil {
-		p.cancelProbe(c.req.GetPrimary())
 		return err
 	}
 	if !p.admitCold() {
-		p.cancelProbe(c.req.GetPrimary())
 		return verdict.New(verdict.NotRun, verdict.QueueFull, "backend server %s is cold and limited to %.0f requests per second", server, p.coldRate())
 	}
 	id, conn, err := c.acquire(p)
 	if err != nil {
 		if verdict.From(err).Reason == verdict.BackendUnreachable {
-			p.recordOutcome(c.req, statement.Kind(c.req.GetKind()), c.began, err)
-		} else {
-			p.cancelProbe(c.req.GetPrimary())
+			c.recordOutcome(p, statement.Kind(c.req.GetKind()), c.began, err)
 		}
 		return err
 	}
@@ -140,7 +141,7 @@
 	}
 	sent := c.x.opt.Clock()
 	if err := tx.conn.Reset(c.socketDeadline(sent + probeTimeout)); err != nil {
-		tx.pool.recordOutcome(c.req, statement.Rollback, sent, verdict.New(verdict.NotRun, verdict.AnswerOverdue, "reset: %v", err))
+		c.recordOutcome(tx.pool, statement.Rollback, sent, verdict.New(verdict.NotRun, verdict.AnswerOverdue, "reset: %v", err))
 		c.x.opt.Log.Info().Str("id", c.req.GetId()).Str("server", tx.pool.server.Name).Err(err).Msg("silent backend connection closed")
 		return verdict.New(verdict.NotRun, verdict.ConnectionLost, "a connection to backend server %s does not answer", tx.pool.server.Name)
 	}
@@ -155,7 +156,7 @@
 	sent := c.x.opt.Clock()
 	results, err := tx.conn.Run(c.socketDeadline(c.deadline), commands...)
 	now := c.x.opt.Clock()
-	tx.pool.recordOutcome(c.req, commands[len(commands)-1].Kind, sent, outcomeOf(results, err))
+	c.recordOutcome(tx.pool, commands[len(commands)-1].Kind, sent, outcomeOf(results, err))
 	if err != nil {
 		if verdict.From(err).Reason == verdict.AnswerOverdue {
 			tx.pool.recordOverdueAnswer()
--- a/internal/executor/supervision.go
+++ b/internal/executor/supervision.go
@@ -5,7 +5,6 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
 	"github.com/cranberryhinge/cranberryhinge/internal/pace"
-	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/supervise"
@@ -48,57 +47,72 @@
 
 // admitSupervised refuses a read at a server that is ejected or has as many probes under
 // way as it may get. Requests of the primary are always admitted.
-func (p *serverPool) admitSupervised(primary bool) error {
+func (p *serverPool) admitSupervised(primary bool) (supervise.Probe, error) {
 	if !p.x.opt.Supervision.Enabled || primary {
-		return nil
+		return 0, nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.detector.AdmitRead(p.x.opt.Clock()) {
-		return nil
+	if probe, ok := p.detector.AdmitRead(p.x.opt.Clock()); ok {
+		return probe, nil
 	}
 	p.x.opt.Counters.Add("reads_refused_ejected", 1)
-	return verdict.New(verdict.NotRun, verdict.QueueFull, "backend server %s is ejected", p.server.Name)
+	return 0, verdict.New(verdict.NotRun, verdict.QueueFull, "backend server %s is ejected", p.server.Name)
 }
 
-// cancelProbe records that a read that admitSupervised admitted was not sent.
-func (p *serverPool) cancelProbe(primary bool) {
-	if !p.x.opt.Supervision.Enabled || primary {
+// endProbe tells the detector the last outcome of the call if its read is a probe.
+func (c *call) endProbe(p *serverPool) {
+	if c.probe == 0 {
 		return
 	}
+	group := c.x.groupOf(p.server.Group, p.server.Name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.detector.CancelProbe()
+	now := c.x.opt.Clock()
+	if change, changed := p.detector.EndProbe(now, c.probe, c.probeOutcome, group); changed {
+		p.applyChange(now, change)
+	}
 }
 
 // recordOutcome tells the detector and the pace how the server answered a statement of
 // the given kind that was sent at sent. err is nil for a success.
-func (p *serverPool) recordOutcome(req *peerpb.ExecuteRequest, kind statement.Kind, sent time.Duration, err error) {
-	if !p.x.opt.Supervision.Enabled {
+func (c *call) recordOutcome(p *serverPool, kind statement.Kind, sent time.Duration, err error) {
+	if !c.x.opt.Supervision.Enabled {
 		return
 	}
 	var group supervise.Group
 	if err != nil {
-		group = p.x.groupOf(p.server.Group, p.server.Name)
+		group = c.x.groupOf(p.server.Group, p.server.Name)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.x.opt.Clock()
-	customer, class := req.GetCustomer(), p.classify(err)
-	p.recordPace(now, pace.Kind{Statement: kind.String(), Priority: int(req.GetPriority())}, now-sent, class, err)
+	now := c.x.opt.Clock()
+	customer, class := c.req.GetCustomer(), p.classify(err)
+	p.recordPace(now, pace.Kind{Statement: kind.String(), Priority: int(c.req.GetPriority())}, now-sent, class, err)
 	var change supervise.Change
 	var changed bool
+	c.probeOutcome = supervise.Undecided
 	switch class {
 	case answered:
-		change, changed = p.detector.RecordSuccess(now, customer)
+		p.detector.RecordSuccess(now, customer)
+		c.probeOutcome = supervise.Succeeded
 	case overdue:
+		if !p.detector.HasAnsweredSince(sent) {
+			c.probeOutcome = supervise.Failed
+		}
 		change, changed = p.detector.RecordOverdue(now, sent, customer, group)
 	case failed:
 		change, changed = p.detector.RecordFailure(now, customer, group)
+		c.probeOutcome = supervise.Failed
 	}
-	if !changed {
-		return
+	if changed {
+		p.applyChange(now, change)
 	}
+}
+
+// applyChange reports a change of the server's state, and paces a server that serves
+// again. The caller must hold mu.
+func (p *serverPool) applyChange(now time.Duration, change supervise.Change) {
 	p.reportChange(now, change)
 	if change.State == supervise.Serving && !change.Capped {
 		p.restartPace(now, "recovered")
--- a/internal/executor/supervision_test.go
+++ b/internal/executor/supervision_test.go
@@ -152,3 +152,33 @@
 	assert.Assert(t, !p.pace.IsFull())
 	assert.Equal(t, p.settings.Slots, p.pace.Allowed())
 }
+
+// Guards against an ejection that is prolonged, or ended, by a statement of the primary or
+// one that was sent before the ejection.
+func TestOnlyProbesDecideAnEjection(t *testing.T) {
+	f := newFixture(t)
+	f.x.opt.Supervision = Supervision{Enabled: true, Loads: serverload.NewTable()}
+	f.server.failWith = func(_ *fakeConn, cmd statement.Command) *verdict.Error {
+		if cmd.Kind == statement.Write || cmd.Text == "READ a held" {
+			return verdict.New(verdict.Ran, verdict.StatementFailed, "failed")
+		}
+		return nil
+	}
+	p, err := f.x.pool("db")
+	assert.NilError(t, err)
+	release := f.holdStatement(read())
+	p.detector.Inherit(f.x.opt.Clock())
+	release()
+	assert.Assert(t, f.do(write()).GetFailure() != nil)
+	assert.Equal(t, f.x.opt.Counters.Get("servers_ejected"), int64(0))
+	primary := read()
+	primary.Primary = true
+	for range 10 {
+		assert.Assert(t, f.do(primary).GetFailure() == nil)
+	}
+	assert.Equal(t, f.x.opt.Counters.Get("servers_restored"), int64(0))
+	for range 5 {
+		assert.Assert(t, f.do(read()).GetFailure() == nil)
+	}
+	assert.Equal(t, f.x.opt.Counters.Get("servers_restored"), int64(1))
+}
--- a/internal/routing/slow_test.go
+++ b/internal/routing/slow_test.go
@@ -69,7 +69,7 @@
 }
 
 // run queues a statement that is given up at limit; done is called once.
-func (m *slowModel) run(s *slowServer, service, limit time.Duration, done func(ok bool)) {
+func (m *slowModel) run(s *slowServer, probe supervise.Probe, service, limit time.Duration, done func(ok bool)) {
 	started := false
 	s.queue = append(s.queue, func() {
 		if m.now >= limit {
@@ -85,7 +85,7 @@
 		m.after(min(service, limit-sent), func() {
 			s.running--
 			s.mean += (m.now - sent - s.mean) / 8
-			m.recordOutcome(s, sent, ok)
+			m.recordOutcome(s, probe, sent, ok)
 			s.startNext()
 			done(ok)
 		})
@@ -98,16 +98,26 @@
 	s.startNext()
 }
 
-func (m *slowModel) recordOutcome(s *slowServer, sent time.Duration, ok bool) {
+func (m *slowModel) recordOutcome(s *slowServer, probe supervise.Probe, sent time.Duration, ok bool) {
 	if !m.ejects {
 		return
 	}
 	customer := []string{"a", "b"}[m.rng.IntN(2)]
+	group, outcome := supervise.Group{Servers: len(m.servers)}, supervise.Succeeded
+	var c supervise.Change
+	var changed bool
 	if ok {
 		s.detector.RecordSuccess(m.now, customer)
-		return
+	} else {
+		outcome = supervise.Failed
+		if s.detector.HasAnsweredSince(sent) {
+			outcome = supervise.Undecided
+		}
+		c, changed = s.detector.RecordOverdue(m.now, sent, customer, group)
+	}
+	if !changed {
+		c, changed = s.detector.EndProbe(m.now, probe, outcome, group)
 	}
-	c, changed := s.detector.RecordOverdue(m.now, sent, customer, supervise.Group{Servers: len(m.servers)})
 	if changed && c.State == supervise.Ejected {
 		m.ejections++
 	}
@@ -168,16 +178,21 @@
 	}
 	h.order.RecordSent(sent, c.Server)
 	m.after(modelHop, func() {
-		refused := m.ejects && !c.Primary && !s.detector.AdmitRead(m.now)
+		var probe supervise.Probe
+		admitted := true
+		if m.ejects && !c.Primary {
+			probe, admitted = s.detector.AdmitRead(m.now)
+		}
+		refused := !admitted
 		if !refused && s.wait() > min(wait, limit-sent) {
-			s.detector.CancelProbe()
+			s.detector.EndProbe(m.now, probe, supervise.Undecided, supervise.Group{})
 			refused = true
 		}
 		if refused {
 			finish(false, true)
 			return
 		}
-		m.run(s, service, limit, func(ok bool) { finish(ok, false) })
+		m.run(s, probe, service, limit, func(ok bool) { finish(ok, false) })
 	})
 }
 
@@ -187,7 +202,7 @@
 		m.writesFailed++
 		return
 	}
-	m.run(s, service, arrived+2*modelTarget, func(ok bool) {
+	m.run(s, 0, service, arrived+2*modelTarget, func(ok bool) {
 		switch {
 		case !ok:
 			m.writesFailed++
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -1,6 +1,9 @@
 package supervise
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // State is what a Detector decides about its server.
 type State uint8
@@ -48,6 +51,21 @@
 // MaxProbes is the number of probes that may be under way at a time.
 const MaxProbes = 1
 
+// Probe identifies a read that decides whether an ejection ends; 0 is none.
+type Probe uint64
+
+// ProbeOutcome is what a probe says about the server.
+type ProbeOutcome uint8
+
+const (
+	// Undecided probes were not sent, or say nothing about the server.
+	Undecided ProbeOutcome = iota
+	// Succeeded probes were answered.
+	Succeeded
+	// Failed probes failed because of the server.
+	Failed
+)
+
 // Group describes the servers of the group for the cap on ejections.
 type Group struct {
 	// Servers is the number of servers of the group, OthersEjected the number of the
@@ -97,6 +115,12 @@
 	s.several = s.several || other.several
 }
 
+// sentProbe is a probe under way.
+type sentProbe struct {
+	Probe
+	at time.Duration
+}
+
 // Detector decides about one backend server by the outcomes of its requests. It is not
 // safe for concurrent use.
 type Detector struct {
@@ -112,8 +136,10 @@
 	level     int
 	calmSince time.Duration
 	successes int
-	probes    []time.Duration
-	cappedAt  time.Duration
+	probes    []sentProbe
+	// lastProbe is the newest probe, priorProbes the newest of earlier ejections.
+	lastProbe, priorProbes Probe
+	cappedAt               time.Duration
 }
 
 // State returns the state at the time now.
@@ -131,60 +157,76 @@
 // advance lets probes begin when an ejection has ended.
 func (d *Detector) advance(now time.Duration) {
 	if d.state == Ejected && now >= d.until {
-		d.state, d.successes, d.probes = Probing, 0, nil
+		d.state, d.successes, d.probes, d.priorProbes = Probing, 0, nil, d.lastProbe
 	}
 }
 
-// AdmitRead reports whether a read may be sent to the server. While the server is
-// probed, a read that is admitted is a probe.
-func (d *Detector) AdmitRead(now time.Duration) bool {
+// AdmitRead reports whether a read may be sent to the server. While the server is probed,
+// a read that is admitted is a probe, which ends with EndProbe.
+func (d *Detector) AdmitRead(now time.Duration) (Probe, bool) {
 	d.advance(now)
 	switch d.state {
 	case Ejected:
-		return false
+		return 0, false
 	case Probing:
-		for len(d.probes) > 0 && now-d.probes[0] >= probeTimeout {
+		for len(d.probes) > 0 && now-d.probes[0].at >= probeTimeout {
 			d.probes = d.probes[1:]
 		}
 		if len(d.probes) >= MaxProbes {
-			return false
+			return 0, false
 		}
-		d.probes = append(d.probes, now)
+		d.lastProbe++
+		d.probes = append(d.probes, sentProbe{d.lastProbe, now})
+		return d.lastProbe, true
 	}
-	return true
+	return 0, true
 }
 
-// CancelProbe records that a read that AdmitRead admitted was not sent, so that another
-// one can be the probe.
-func (d *Detector) CancelProbe() {
-	if d.state == Probing && len(d.probes) > 0 {
-		d.probes = d.probes[:len(d.probes)-1]
+// EndProbe ends a probe, so that another read can be one, and returns the change of the
+// state, if any. Only probes decide while the server is probed: other statements may have
+// been sent before the ejection, or to the primary. A probe that was given up still
+// decides, or a server without answers would be probed for ever.
+func (d *Detector) EndProbe(now time.Duration, probe Probe, outcome ProbeOutcome, g Group) (Change, bool) {
+	d.advance(now)
+	d.probes = slices.DeleteFunc(d.probes, func(p sentProbe) bool { return p.Probe == probe })
+	if d.state != Probing || probe <= d.priorProbes {
+		return Change{}, false
+	}
+	switch outcome {
+	case Succeeded:
+		if d.successes++; d.successes < probeSuccesses {
+			return Change{}, false
+		}
+		d.state, d.calmSince, d.probes = Serving, now, nil
+		d.ring = [buckets]bucket{}
+		return Change{State: Serving}, true
+	case Failed:
+		if g.OthersEjected == 0 || g.allowsEjection() {
+			return d.eject(now), true
+		}
+		requests, failures, _ := d.window(now)
+		d.state, d.calmSince, d.cappedAt, d.probes = Serving, now, now, nil
+		return Change{State: Serving, Capped: true, Failures: failures, Requests: requests}, true
 	}
+	return Change{}, false
 }
 
 // RecordSuccess records an answer of the server, whether or not the request succeeded
-// for its caller. It returns the change of the state, if any.
-func (d *Detector) RecordSuccess(now time.Duration, customer string) (Change, bool) {
+// for its caller.
+func (d *Detector) RecordSuccess(now time.Duration, customer string) {
 	d.advance(now)
 	d.bucketAt(now, customer).requests++
 	d.lastSuccess, d.silent = now, false
-	if d.state != Probing {
-		return Change{}, false
-	}
-	d.endProbe()
-	if d.successes++; d.successes < probeSuccesses {
-		return Change{}, false
-	}
-	d.state, d.calmSince = Serving, now
-	d.ring = [buckets]bucket{}
-	return Change{State: Serving}, true
 }
 
+// HasAnsweredSince reports whether the server has answered a statement since sent.
+func (d *Detector) HasAnsweredSince(sent time.Duration) bool { return d.lastSuccess > sent }
+
 // RecordOverdue records that a statement, sent at sent, got no answer in time. It is a
 // failure only if the server has answered no other statement since, and none for
-// minSilence. The outcome of a probe is always one.
+// minSilence.
 func (d *Detector) RecordOverdue(now, sent time.Duration, customer string, g Group) (Change, bool) {
-	if d.lastSuccess > sent {
+	if d.HasAnsweredSince(sent) {
 		return Change{}, false
 	}
 	if !d.silent {
@@ -204,15 +246,6 @@
 	b.requests++
 	b.failures++
 	b.failed.add(customer)
-	if d.state == Probing {
-		d.endProbe()
-		if g.OthersEjected == 0 || g.allowsEjection() {
-			return d.eject(now), true
-		}
-		requests, failures, _ := d.window(now)
-		d.state, d.calmSince, d.cappedAt, d.probes = Serving, now, now, nil
-		return Change{State: Serving, Capped: true, Failures: failures, Requests: requests}, true
-	}
 	if d.state != Serving {
 		return Change{}, false
 	}
@@ -244,12 +277,6 @@
 	return Change{State: Ejected, Failures: failures, Requests: requests, Until: d.until}
 }
 
-func (d *Detector) endProbe() {
-	if len(d.probes) > 0 {
-		d.probes = d.probes[1:]
-	}
-}
-
 func (d *Detector) bucketAt(now time.Duration, customer string) *bucket {
 	index := int64(now / bucketLength)
 	b := &d.ring[index%buckets]
--- a/internal/supervise/supervise_test.go
+++ b/internal/supervise/supervise_test.go
@@ -17,15 +17,18 @@
 	for n := 0; time.Duration(n)*interval < length; n++ {
 		now, customer := time.Duration(n)*interval, []string{"a", "b"}[n/2%2]
 		state = d.State(now)
-		if !d.AdmitRead(now) {
+		probe, ok := d.AdmitRead(now)
+		if !ok {
 			continue
 		}
 		sent++
 		if fails(now) {
 			failures++
 			d.RecordFailure(now, customer, threeServers)
+			d.EndProbe(now, probe, Failed, threeServers)
 		} else {
 			d.RecordSuccess(now, customer)
+			d.EndProbe(now, probe, Succeeded, threeServers)
 		}
 	}
 	return sent, failures, state
@@ -117,10 +120,13 @@
 func TestFailedProbeEndsAnEjectionBeyondTheCap(t *testing.T) {
 	d := &Detector{}
 	d.Inherit(time.Second)
-	assert.Assert(t, d.AdmitRead(time.Second))
-	c, changed := d.RecordFailure(time.Second, "a", Group{Servers: 3, OthersEjected: 1})
+	probe, ok := d.AdmitRead(time.Second)
+	assert.Assert(t, ok)
+	c, changed := d.EndProbe(time.Second, probe, Failed, Group{Servers: 3, OthersEjected: 1})
 	assert.Assert(t, changed && c.Capped)
 	assert.Equal(t, c.State, Serving)
-	assert.Assert(t, d.AdmitRead(time.Second))
-	assert.Assert(t, d.AdmitRead(time.Second), "more than probes")
+	for range MaxProbes + 1 {
+		probe, ok = d.AdmitRead(time.Second)
+		assert.Assert(t, ok && probe == 0, "more than probes")
+	}
 }
