Count a failed opening of a connection once

Cause: a failed opening refuses all waiting requests of its customer, and each of them recorded a failure of the server, so that one failed dial with five waiters ejected it. Change: the opening records the failure; the waiting requests record none. A probe that needed the connection still fails with it. Openings that fail while another one of the customer is under way refuse nobody and counted nothing; they count now. Evidence: TestFailedOpeningCountsOnce failed before.

--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -76,7 +76,7 @@
 	id, conn, err := c.acquire(p)
 	if err != nil {
 		if verdict.From(err).Reason == verdict.BackendUnreachable {
-			c.recordOutcome(p, statement.Kind(c.req.GetKind()), c.began, err)
+			c.probeOutcome = supervise.Failed
 		}
 		return err
 	}
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -136,6 +136,7 @@
 		e := verdict.From(err)
 		p.x.opt.Log.Info().Str("server", p.server.Name).Str("customer", customer).Dur("took", now-began).Err(err).Msg("backend connection failed")
 		p.x.opt.Counters.Add("backend_connections_failed", 1)
+		p.recordOpenFailure(customer, e)
 		time.Sleep(openFailureDelay)
 		p.withDispatcher(func(now time.Duration) []backend.Action { return p.dispatcher.RecordOpenFailed(now, id, e.Reason) })
 		return
--- a/internal/executor/supervision.go
+++ b/internal/executor/supervision.go
@@ -110,6 +110,22 @@
 	}
 }
 
+// recordOpenFailure records a server that accepts no connection as one failure, however
+// many requests wait for the connection.
+func (p *serverPool) recordOpenFailure(customer string, err *verdict.Error) {
+	if !p.x.opt.Supervision.Enabled || err.Reason != verdict.BackendUnreachable {
+		return
+	}
+	group := p.x.groupOf(p.server.Group, p.server.Name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.x.opt.Clock()
+	p.recordPace(now, pace.Kind{}, 0, failed, err)
+	if change, changed := p.detector.RecordFailure(now, customer, group); changed {
+		p.applyChange(now, change)
+	}
+}
+
 // applyChange reports a change of the server's state, and paces a server that serves
 // again. The caller must hold mu.
 func (p *serverPool) applyChange(now time.Duration, change supervise.Change) {
--- a/internal/executor/supervision_test.go
+++ b/internal/executor/supervision_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -182,3 +183,41 @@
 	}
 	assert.Equal(t, f.x.opt.Counters.Get("servers_restored"), int64(1))
 }
+
+// Guards against one failed opening of a connection that ejects a server, because it
+// counts once for each request that waits for it.
+func TestFailedOpeningCountsOnce(t *testing.T) {
+	f := newFixture(t)
+	f.x.opt.ContentionControl = true // one slot, so one opening at a time
+	f.x.opt.Supervision = Supervision{Enabled: true, Loads: serverload.NewTable()}
+	f.server.dialDelay = 50 * time.Millisecond
+	f.server.dialErr = verdict.New(verdict.NotRun, verdict.BackendUnreachable, "no route")
+	p, err := f.x.pool("db")
+	assert.NilError(t, err)
+	assert.Equal(t, p.settings.Slots, 1)
+	var requests sync.WaitGroup
+	for range 8 {
+		requests.Go(func() {
+			r := write() // the primary's requests are not paced
+			r.Customer = "c"
+			f.wantFailure(f.do(r), verdict.NotRun, verdict.BackendUnreachable)
+		})
+	}
+	requests.Wait()
+	dials := int(f.x.opt.Counters.Get("backend_connections_failed"))
+	assert.Assert(t, dials < 5, "%d openings", dials)
+	assert.Equal(t, f.x.opt.Counters.Get("ejections_capped"), int64(0))
+
+	// Failed openings eject a server as other failures do.
+	for f.x.opt.Counters.Get("ejections_capped") == 0 {
+		assert.Assert(t, f.x.opt.Counters.Get("backend_connections_failed") < 8)
+		f.wantFailure(f.do(write()), verdict.NotRun, verdict.BackendUnreachable)
+	}
+
+	// A probe that needs a connection fails with it.
+	p.mu.Lock()
+	p.detector.Inherit(f.x.opt.Clock())
+	p.mu.Unlock()
+	f.wantFailure(f.do(read()), verdict.NotRun, verdict.BackendUnreachable)
+	assert.Equal(t, f.x.opt.Counters.Get("servers_ejected"), int64(1))
+}
