Let a little used server reach full pace within a bounded number of answers

Cause: the limit grows only while it is in use, and each arrival that finds the server idle ends the use. A server with little traffic stayed at a third of its slots, and entry hosts sent local reads to other zones although it was idle. Change: 128 consecutive answers, with no failure, BUSY or slow time between them, double the limit at any use; after a low start the server has all slots after at most 256. Evidence: TestLittleUsedServerReachesFullPaceWithinABound failed before; the existing tests of pace hold unchanged.

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -33,6 +33,10 @@
 	// fullAfter bounds what a limit that is too low costs: after that time in use without
 	// a cut the server gets all its slots.
 	fullAfter = 2 * time.Second
+	// calmAnswers is the number of consecutive answers, none of them while the server is
+	// slow, that double the limit of a server that is little used. After a low start, it
+	// gets all its slots after twice as many.
+	calmAnswers = 128
 )
 
 // Cause names why a limit shrinks.
@@ -60,7 +64,7 @@
 	// answers as there are slots add one.
 	threshold float64
 	// usedSince is the time since which the limit has been in use, 0 if it is not; the
-	// limit grows only then.
+	// limit grows quickly only then.
 	usedSince time.Duration
 	lastCut   time.Duration
 	hasCut    bool
@@ -69,8 +73,10 @@
 	fullSince time.Duration
 	// failures counts the consecutive failures since the last answer.
 	failures int
-	ratio    float64
-	usual    map[Kind]*usualLatency
+	// calm counts the consecutive good answers since the limit last shrank or doubled.
+	calm  int
+	ratio float64
+	usual map[Kind]*usualLatency
 }
 
 // usualLatency is the moving average of the latency of one kind.
@@ -95,7 +101,7 @@
 // Restart makes the limit start low again.
 func (l *Limit) Restart() {
 	l.limit = min(l.limit, max(1, float64(l.slots)*lowStart))
-	l.threshold, l.usedSince, l.ratio, l.settled, l.fullSince = float64(l.slots), 0, 1, false, 0
+	l.threshold, l.usedSince, l.ratio, l.settled, l.fullSince, l.calm = float64(l.slots), 0, 1, false, 0, 0
 }
 
 // Allowed returns the number of concurrent statements that the limit allows.
@@ -141,6 +147,7 @@
 	}
 	u.mean = max(u.mean+time.Duration(weight*(ratio-1)*float64(u.mean)), 1)
 	if slow {
+		l.calm = 0
 		// A server that has long been in full use is left alone: fewer statements would only
 		// move its load to the others.
 		floor := latencyFloor * float64(l.slots)
@@ -157,6 +164,9 @@
 	if u.answers >= fewAnswers {
 		l.grow(now)
 	}
+	if l.calm++; l.calm >= calmAnswers {
+		l.limit, l.calm = min(2*l.limit, float64(l.slots)), 0
+	}
 	return "", false
 }
 
@@ -190,6 +200,7 @@
 // RecordBusy records that the server had no free slot. It reports whether the limit
 // shrinks.
 func (l *Limit) RecordBusy(now time.Duration) bool {
+	l.calm = 0
 	return l.limit > 1 && l.cut(now, max(failureCut*l.limit, 1))
 }
 
@@ -198,6 +209,7 @@
 // whether the limit shrinks.
 func (l *Limit) RecordFailure(now time.Duration) bool {
 	l.failures++
+	l.calm = 0
 	return l.failures >= minFailures && l.RecordBusy(now)
 }
 
@@ -205,6 +217,6 @@
 	if l.hasCut && now-l.lastCut < cutInterval {
 		return false
 	}
-	l.limit, l.threshold, l.lastCut, l.hasCut, l.settled, l.fullSince = limit, limit, now, true, false, 0
+	l.limit, l.threshold, l.lastCut, l.hasCut, l.settled, l.fullSince, l.calm = limit, limit, now, true, false, 0, 0
 	return true
 }
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -201,3 +201,58 @@
 	t.Logf("slots withheld for %v of 6.5s", withheld)
 	assert.Assert(t, withheld < fullAfter+time.Second)
 }
+
+// answerIdle plays answers of a server that runs one statement at a time, and returns the
+// number after which all slots were allowed, 0 if they were not.
+func answerIdle(l *Limit, answers int, interval time.Duration, latency func(n int) time.Duration) int {
+	for n := 1; n <= answers; n++ {
+		now := time.Duration(n) * interval
+		l.RecordDemand(now, 0)
+		l.RecordAnswer(now, Kind{}, latency(n))
+		if l.IsFull() {
+			return n
+		}
+	}
+	return 0
+}
+
+// Guards against a server that stays at a third of its slots while it answers well, because
+// it is little used: entry hosts would send reads to other zones although it is idle.
+func TestLittleUsedServerReachesFullPaceWithinABound(t *testing.T) {
+	for _, slots := range []int{2, 3, 6, 40} {
+		l := New(slots)
+		l.Restart()
+		at := answerIdle(l, 1000, 200*time.Millisecond, func(int) time.Duration { return 10 * time.Millisecond })
+		assert.Assert(t, at > 0 && at <= 2*calmAnswers, "%d slots: full after %d answers", slots, at)
+	}
+}
+
+// Guards against a cold server that is little used and gets all slots although it is slow,
+// refuses statements or fails now and then.
+func TestLittleUsedServerThatAnswersBadlyStaysLimited(t *testing.T) {
+	for name, spoil := range map[string]func(l *Limit, now time.Duration){
+		"busy":    func(l *Limit, now time.Duration) { l.RecordBusy(now) },
+		"failure": func(l *Limit, now time.Duration) { l.RecordFailure(now) },
+	} {
+		l := New(modelSlots)
+		l.Restart()
+		for n := range 1000 {
+			now := time.Duration(n) * 100 * time.Millisecond
+			l.RecordDemand(now, 0)
+			l.RecordAnswer(now, Kind{}, 10*time.Millisecond)
+			if n%100 == 99 {
+				spoil(l, now)
+			}
+		}
+		assert.Assert(t, l.Allowed() <= 2, "%s: %d", name, l.Allowed())
+	}
+	l := New(modelSlots)
+	l.Restart()
+	slow := func(n int) time.Duration {
+		if n%60 > 50 {
+			return 80 * time.Millisecond
+		}
+		return 10 * time.Millisecond
+	}
+	assert.Equal(t, answerIdle(l, 1000, 100*time.Millisecond, slow), 0)
+}
