Drop the accounts of customers that no longer use a server

Cause: the dispatcher kept an account for every customer that had ever used the server, and the equal share walks all of them every 5 ms. Change: DropIdle, which the executor calls regularly, drops accounts without requests and connections 10 s after their last use, or later by a debt beyond that. The random operations check in addition that customers which hold connections have accounts.

--- a/internal/backend/contention_oracle_test.go
+++ b/internal/backend/contention_oracle_test.go
@@ -76,6 +76,9 @@
 	for customer, a := range o.d.accounts {
 		assert.Equal(o.t, a.heldConns, held[customer])
 	}
+	for customer := range held {
+		assert.Assert(o.t, o.d.accounts[customer] != nil, "the account of %s, which holds connections, is dropped", customer)
+	}
 }
 
 func (o *randomOps) pick(m map[RequestID]bool) (RequestID, bool) {
--- a/internal/backend/dispatcher.go
+++ b/internal/backend/dispatcher.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -95,6 +96,8 @@
 	heldConns int
 	// use is the expected service time of the customer's recent statements.
 	use decayingSum
+	// lastUsed is the time of the last change of serviceTime.
+	lastUsed time.Duration
 }
 
 // NewDispatcher returns a Dispatcher without connections.
@@ -112,6 +115,9 @@
 	return d.dispatch(now)
 }
 
+// accountTTL is the time after which the use of the server by a customer has decayed.
+const accountTTL = 10 * customerWindow
+
 // extraStatements is the number of statements that may run beyond the slots.
 // They keep the server busy while a result and the next statement are in
 // transit.
@@ -305,7 +311,7 @@
 func (d *Dispatcher) RecordOpened(now time.Duration, id ConnID) []Action {
 	d.actions = d.actions[:0]
 	if c, ok := d.conns[id]; ok && c.opening {
-		d.account(c.customer).serviceTime += now - c.lastUsed
+		d.account(c.customer).addService(now, now-c.lastUsed)
 		d.recordUse(now, 0, now-c.lastUsed)
 		d.contention.openTime = average(d.contention.openTime, now-c.lastUsed)
 		c.opening, c.lastUsed = false, now
@@ -362,7 +368,7 @@
 }
 
 // DropIdle closes the connections that have been idle for at least the given
-// time.
+// time, and drops the accounts of former customers.
 func (d *Dispatcher) DropIdle(now, idle time.Duration) []Action {
 	d.actions = d.actions[:0]
 	for _, c := range d.conns {
@@ -370,14 +376,36 @@
 			d.close(c)
 		}
 	}
+	d.dropAccounts(now)
 	return d.dispatch(now)
 }
 
+// dropAccounts drops the accounts of customers without requests and connections whose use
+// has decayed. An account in debt is kept until the customer has paused for as long.
+func (d *Dispatcher) dropAccounts(now time.Duration) {
+	inUse := map[string]bool{}
+	for _, r := range d.requests {
+		inUse[r.Customer] = true
+	}
+	for _, c := range d.conns {
+		inUse[c.customer] = true
+	}
+	maps.DeleteFunc(d.accounts, func(customer string, a *account) bool {
+		return !inUse[customer] && now-a.lastUsed >= max(accountTTL, a.serviceTime-d.virtualTime)
+	})
+}
+
 func (d *Dispatcher) close(c *dispatchConn) {
 	d.markClosing(c)
 	d.actions = append(d.actions, Action{Kind: ActionClose, Conn: c.id})
 }
 
+// addService adds service time that ends now.
+func (a *account) addService(now, service time.Duration) {
+	a.serviceTime += service
+	a.lastUsed = now
+}
+
 func (d *Dispatcher) account(customer string) *account {
 	a, ok := d.accounts[customer]
 	if !ok {
@@ -394,7 +422,7 @@
 	service := now - r.since
 	d.recordService(now, r, service)
 	d.meanService = average(d.meanService, service)
-	d.account(r.Customer).serviceTime += service
+	d.account(r.Customer).addService(now, service)
 }
 
 // dispatch starts waiting requests in the free slots. If the customer of a
@@ -520,7 +548,7 @@
 		}
 	}
 	// A customer gets no credit for the time in which it had no requests.
-	a.serviceTime = max(a.serviceTime, d.virtualTime)
+	a.serviceTime, a.lastUsed = max(a.serviceTime, d.virtualTime), now
 	d.virtualTime = a.serviceTime
 	r.state, r.since = stateRunning, now
 	d.actions = append(d.actions, Action{Kind: kind, Request: r.id, Conn: c.id})
