Back off when calls for the usage row fail

Cause: while the role is held, a write of the usage row that failed was repeated every 0.2 to 0.3 s, for as long as the store failed. Change: the pause doubles with each failed read or write up to 2 s, until a write is carried out. A first conflict is followed by a read at once, as before.

--- a/internal/usage/machine.go
+++ b/internal/usage/machine.go
@@ -35,8 +35,9 @@
 	// maxTickPause is the time between two ticks from which on this process counts as
 	// having been suspended.
 	maxTickPause = 3 * time.Second
-	// rowRetryDelay is the pause after a failed call to the store.
-	rowRetryDelay = 200 * time.Millisecond
+	// minRowDelay and maxRowDelay bound the pause after a failed call to the store.
+	minRowDelay = 200 * time.Millisecond
+	maxRowDelay = 2 * time.Second
 	// minSendDelay and maxSendDelay bound the pause before a report is sent again.
 	minSendDelay = 300 * time.Millisecond
 	maxSendDelay = 2 * time.Second
@@ -112,6 +113,8 @@
 	// is none.
 	lastCall, rowCall, sendCall CallID
 	rowRetryAt                  time.Duration
+	// rowDelay is the pause after the next failed call.
+	rowDelay time.Duration
 	// written is the record of the write under way, or of the last one. writtenDecisions
 	// are reported once it is carried out.
 	written          Record
@@ -215,7 +218,8 @@
 func (m *Machine) start(now time.Duration, epoch uint64) {
 	m.epoch, m.tickedAt = epoch, now
 	m.generation++
-	m.rowCall, m.sendCall, m.rowRetryAt, m.sendAt, m.sendDelay = 0, 0, 0, 0, minSendDelay
+	m.rowCall, m.rowRetryAt, m.rowDelay = 0, 0, minRowDelay
+	m.sendCall, m.sendAt, m.sendDelay = 0, 0, minSendDelay
 	m.answers, m.accepted, m.unanswered = map[int64]map[process]answer{}, map[int64]bool{}, 0
 	for _, h := range m.hosts {
 		h.asking, h.aliveAt = false, now
@@ -269,6 +273,13 @@
 	m.do(WriteRow{Call: m.rowCall, Expect: m.revision, Record: next})
 }
 
+// delayRow repeats a failed call to the store after a pause, which grows until a write is
+// carried out.
+func (m *Machine) delayRow(now, pause time.Duration) {
+	m.rowRetryAt = now + pause
+	m.rowDelay = min(2*m.rowDelay, maxRowDelay)
+}
+
 // fixWindows writes the counts of the windows that can be closed.
 func (m *Machine) fixWindows(now time.Duration, hosts []Host) {
 	next := m.record
--- a/internal/usage/results.go
+++ b/internal/usage/results.go
@@ -27,7 +27,7 @@
 	}
 	m.rowCall = 0
 	if !ok {
-		m.rowRetryAt = now + rowRetryDelay
+		m.delayRow(now, m.rowDelay)
 		return nil
 	}
 	record, decoded := decodeRecord(r.Value)
@@ -86,11 +86,12 @@
 	m.rowCall = 0
 	switch {
 	case o == Unknown:
-		m.rowRetryAt = now + rowRetryDelay
+		m.delayRow(now, m.rowDelay)
 	case o == Conflict:
+		m.delayRow(now, m.rowDelay-minRowDelay) // at once after the first
 		m.setPhase(now, reading)
 	default:
-		m.record, m.revision = m.written, revision
+		m.record, m.revision, m.rowDelay = m.written, revision, minRowDelay
 		for _, d := range m.writtenDecisions {
 			m.decide(d)
 		}
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -248,3 +248,63 @@
 	m, _ = startReporter(t, row, 5, 7) // its own write, whose answer was lost
 	assert.Equal(t, m.revision, store.Revision(5))
 }
+
+// Guards against failing calls to the store that are repeated several times a second for
+// as long as this host holds the role.
+func TestFailingCallsToTheStoreAreRepeatedLessOften(t *testing.T) {
+	const length = time.Minute
+	row := reporterRow(time.Hour)
+	hosts := []Host{{Name: "h", Incarnation: 1}}
+	for _, outcome := range []WriteOutcome{Unknown, Conflict} {
+		m, now := startReporter(t, row, 5, 7)
+		adopted := m.record
+		writes, reads, longest := 0, 0, time.Duration(0)
+		var last time.Duration
+		// tick answers the calls of one tick and returns the number of writes.
+		tick := func(outcome WriteOutcome) (written int) {
+			now += 100 * time.Millisecond
+			for _, a := range append([]Action(nil), m.Tick(now, 7, hosts)...) {
+				switch a := a.(type) {
+				case WriteRow:
+					written++
+					m.OnWrite(now, a.Call, outcome, 6)
+				case ReadRow:
+					reads++
+					m.OnRead(now, a.Call, RowRead{Value: adopted.encode(), Revision: 6, Stamp: now, Sent: now, Received: now}, true)
+				}
+			}
+			return written
+		}
+		for end := now + length; now < end; {
+			if tick(outcome) > 0 {
+				writes++
+				if last > 0 {
+					longest = max(longest, now-last)
+				}
+				last = now
+			}
+		}
+		t.Logf("outcome %d: %d writes, %d reads in %v", outcome, writes, reads, length)
+		assert.Assert(t, writes > 20 && writes < 40, "%d writes", writes)
+		assert.Assert(t, reads <= writes)
+		assert.Assert(t, longest <= maxRowDelay+300*time.Millisecond, "%v", longest)
+
+		// A write that is carried out ends the backoff.
+		for tick(Written) == 0 {
+			assert.Assert(t, now < time.Hour+length+5*time.Second)
+		}
+		assert.Equal(t, m.rowDelay, minRowDelay)
+	}
+
+	m := NewMachine(Settings{Window: testWindow, Late: testLate, Lease: testLease, Machine: "a"})
+	reads := 0
+	for now := time.Hour; now < time.Hour+length; now += 100 * time.Millisecond {
+		for _, a := range append([]Action(nil), m.Tick(now, 7, hosts)...) {
+			if a, ok := a.(ReadRow); ok {
+				reads++
+				m.OnRead(now, a.Call, RowRead{}, false)
+			}
+		}
+	}
+	assert.Assert(t, reads > 20 && reads < 40, "%d reads", reads)
+}
