Let the contention model ask again as the executor does

The model gave waiting requests up at their useful wait; the executor now asks the dispatcher to decide again, and gives up at the deadline. The model's bounds are unchanged and hold.

--- a/internal/backend/contention_sim_test.go
+++ b/internal/backend/contention_sim_test.go
@@ -110,15 +110,24 @@
 	}
 }
 
+// recheckAfter asks the dispatcher to decide again each time that wait has passed.
+func (s *loadSim) recheckAfter(r *simRequest, wait time.Duration) {
+	s.at(wait, func() {
+		if r.waiting && !r.ended {
+			s.apply(s.d.Recheck(s.now))
+			s.recheckAfter(r, wait)
+		}
+	})
+}
+
 func (s *loadSim) arrive(id RequestID, c class, customer string) {
 	r := &simRequest{class: c, id: id, customer: customer, arrived: s.now, left: max(c.statements, 1), waiting: true}
 	s.requests[id] = r
 	wait := min(c.deadline, time.Duration(waitShare*float64(c.target)))
-	giveUp := c.deadline
 	if s.d.settings.Scheduling == EarliestTarget {
-		giveUp = wait
+		s.recheckAfter(r, wait)
 	}
-	s.at(giveUp, func() {
+	s.at(c.deadline, func() {
 		if r.waiting && !r.ended {
 			s.end(r, false)
 			s.apply(s.d.Cancel(s.now, id))
