Spread minters over all hosts; count a host's link apart from its processor

Only roles through whose holders statements go follow the spare capacity now, and a host with a narrow link and a free processor may carry them, too.

--- a/internal/host/directory.go
+++ b/internal/host/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -215,6 +216,12 @@
 	return hosts
 }
 
+// carriesStatements reports whether statements go through the holder of a role: the home
+// hosts of servers and the owners of groups.
+func carriesStatements(role string) bool {
+	return strings.HasPrefix(role, fleet.HomeRole("")) || strings.HasPrefix(role, failover.Role(""))
+}
+
 // pollUntil evaluates done once per interval until it returns true or ctx ends.
 func pollUntil(ctx context.Context, interval time.Duration, done func() bool) {
 	for !done() && clock.Sleep(ctx, interval) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -159,7 +159,7 @@
 		Capacity: h.settings.capacity(),
 	}
 	if a.Features.ContentionControl {
-		self.Capacity = h.settings.spareCapacity()
+		self.SpareCapacity = h.settings.spareCapacity()
 	}
 	latencies := telemetry.NewLatencies(h.counters)
 	limits := h.settings.ClientLimits.WithDefaults()
@@ -172,7 +172,8 @@
 		views: map[string]cachedView{}, primaries: map[string]reportedPrimary{}, reportsUsage: h.settings.UsageWindow > 0,
 	}
 	h.ownership = ownership.New(ownership.Options{
-		Self: self, Space: rowSpace, Table: a.Table, Watcher: a.Watcher, WantedRoles: h.directory.wantedRoles,
+		CarriesStatements: carriesStatements,
+		Self:              self, Space: rowSpace, Table: a.Table, Watcher: a.Watcher, WantedRoles: h.directory.wantedRoles,
 		Clock: h.clock, Log: h.log, Counters: h.counters, Latencies: latencies, FastRecovery: a.Features.FastRecovery,
 	})
 	h.catalog = catalog.NewShell(catalog.Options{
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -172,8 +172,9 @@
 }
 
 const (
-	// clientCores is the capacity that a host uses for its own clients under load.
-	clientCores = 0.1
+	// clientCores and clientMbps are what a host uses for its own clients under load.
+	clientCores = 0.12
+	clientMbps  = 2
 	// homeCores is the capacity that a home host uses for one server with all slots busy:
 	// about 220 statements per second at 0.35 ms.
 	homeCores = 0.08
@@ -182,11 +183,13 @@
 	overloadedHostWeight = 0.01
 )
 
-// spareCapacity returns the weight of the host when roles are assigned by what its own
-// clients leave, in cores. In a fleet of small and large hosts, roles that meet on a small
-// one would overload it and make their servers look slow.
+// spareCapacity returns the weight of the host, by what its own clients leave, when roles are
+// assigned through whose holders statements go, in cores. In a fleet of small and large
+// hosts, such roles that meet on a small one would overload it and make their servers look
+// slow.
 func (s *Settings) spareCapacity() float64 {
-	if spare := s.capacity() - clientCores; spare >= homeCores {
+	spare := min(s.ProcessorShare*float64(s.Cores)-clientCores, (s.LinkMbps-clientMbps)/mbpsPerCore)
+	if spare >= homeCores {
 		return spare
 	}
 	return overloadedHostWeight
--- a/internal/host/settings_test.go
+++ b/internal/host/settings_test.go
@@ -149,4 +149,7 @@
 	assert.Assert(t, small.spareCapacity() > 0)
 	assert.Assert(t, large.spareCapacity() > 2*medium.spareCapacity())
 	assert.Assert(t, medium.spareCapacity() > 20*small.spareCapacity())
+	// A narrow link alone does not overload a host.
+	narrow := Settings{ProcessorShare: 0.464, Cores: 1, LinkMbps: 10}
+	assert.Assert(t, narrow.spareCapacity() > 10*small.spareCapacity())
 }
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -69,6 +69,8 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Capacity is the host's share of the load, in any unit that all hosts use.
 	Capacity float64 `json:"capacity"`
+	// SpareCapacity is the weight for roles that carry statements; 0 for Capacity.
+	SpareCapacity float64 `json:"spare_capacity,omitempty"`
 }
 
 // Role is the content of a role's row.
@@ -125,8 +127,10 @@
 // Machine decides which roles this host claims, releases and may use. It is not
 // safe for concurrent use.
 type Machine struct {
-	self  Host
-	space string
+	// carriesStatements is Options.CarriesStatements.
+	carriesStatements func(role string) bool
+	self              Host
+	space             string
 
 	hosts map[string]*hostRow
 	// others, rankings and hostsByBeatID are computed from hosts when they are needed,
--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -340,3 +341,23 @@
 	f.advance(6 * time.Second)
 	assert.Assert(t, f.holder() != nil && f.holder() != before)
 }
+
+// Guards against minters that meet on the few hosts which carry the servers of a zone: the
+// loss of one of these would take a large part of the zone's tokens with it.
+func TestOnlyRolesThatCarryStatementsFollowSpareCapacity(t *testing.T) {
+	m := NewMachine(0, Host{Name: "h0", Zone: "z", Capacity: 0.2, SpareCapacity: 0.01}, "rows")
+	m.carriesStatements = func(role string) bool { return strings.HasPrefix(role, "server/") }
+	m.hosts["h0"] = &hostRow{Host: m.self}
+	m.hosts["h1"] = &hostRow{Host: Host{Name: "h1", Zone: "z", Capacity: 0.2, SpareCapacity: 0.7}}
+	first := func(kind string) (n int) {
+		for i := range 400 {
+			if m.ranking(fmt.Sprint(kind, i), "z")[0].Name == "h1" {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Assert(t, first("server/") > 380)
+	minters := first("rate/")
+	assert.Assert(t, minters > 160 && minters < 240, "%d of 400 minters", minters)
+}
--- a/internal/ownership/ranking.go
+++ b/internal/ownership/ranking.go
@@ -29,7 +29,7 @@
 	var ranked []rankedHost
 	for _, r := range m.hosts {
 		if zone == "" || r.Zone == zone {
-			ranked = append(ranked, rankedHost{r, rendezvousDistance(role, r.Host)})
+			ranked = append(ranked, rankedHost{r, rendezvousDistance(role, r.Name, m.weight(role, r.Host))})
 		}
 	}
 	slices.SortFunc(ranked, func(a, b rankedHost) int {
@@ -131,11 +131,19 @@
 
 // rendezvousDistance ranks hosts for a role by weighted rendezvous hashing; the
 // lowest value is the best. A host ranks first for a share of the roles that is
-// proportional to its capacity.
-func rendezvousDistance(role string, h Host) float64 {
+// proportional to its weight.
+func rendezvousDistance(role, host string, weight float64) float64 {
 	const steps = 1 << 53
-	u := (float64(xxhash.Sum64String(role+"\x00"+h.Name)>>11) + 0.5) / steps
-	return -math.Log(u) / max(h.Capacity, minCapacity)
+	u := (float64(xxhash.Sum64String(role+"\x00"+host)>>11) + 0.5) / steps
+	return -math.Log(u) / max(weight, minCapacity)
+}
+
+// weight returns the weight of a host for a role.
+func (m *Machine) weight(role string, h Host) float64 {
+	if h.SpareCapacity > 0 && m.carriesStatements != nil && m.carriesStatements(role) {
+		return h.SpareCapacity
+	}
+	return h.Capacity
 }
 
 // minCapacity is the capacity of a host that states none.
--- a/internal/ownership/shell.go
+++ b/internal/ownership/shell.go
@@ -40,6 +40,9 @@
 	Counters    *telemetry.Counters
 	// Latencies records the takeover waits under the name TakeoverWaitLatency.
 	Latencies *telemetry.Latencies
+	// CarriesStatements, if set, reports whether statements go through the holder of a
+	// role. Such roles are assigned by SpareCapacity.
+	CarriesStatements func(role string) bool
 	// FastRecovery claims roles as soon as the rows allow it instead of at the next
 	// interval, and suspects the hosts of a lost availability zone together.
 	FastRecovery bool
@@ -76,6 +79,7 @@
 // New returns a Shell. It does nothing until Run is called.
 func New(opt Options) *Shell {
 	s := &Shell{opt: opt, machine: NewMachine(opt.Clock(), opt.Self, opt.Space), loggedRoles: map[string]loggedRole{}, wake: make(chan struct{}, 1)}
+	s.machine.carriesStatements = opt.CarriesStatements
 	if opt.FastRecovery {
 		s.machine.EnableFastRecovery()
 	}
