Explain where a request of the line protocol would go

The explain command knew the PostgreSQL protocol only.

Frontend.Explain builds the operation that the session would, and calls what routes: readFloor, needsPrimary, orderReads (the part of readCandidates that counts nothing), firstUntried (of nextCandidate), authorizeRoute (of authorize), and Throttle.RefusedShare (of Admit, which now counts after its decision).

Existing tests are unchanged.

--- a/internal/admission/throttle.go
+++ b/internal/admission/throttle.go
@@ -71,10 +71,15 @@
 // NewThrottle returns a Throttle that refuses nothing yet.
 func NewThrottle() *Throttle { return &Throttle{counts: map[key]*counts{}} }
 
-func (t *Throttle) both(now time.Duration, r Request) (server, customer *counts) {
+func keysOf(r Request) (server, customer key) {
 	k := key{priority: r.Priority, transaction: r.Transaction}
-	serverKey, customerKey := k, k
-	serverKey.server, customerKey.customer = r.Server, r.Customer
+	server, customer = k, k
+	server.server, customer.customer = r.Server, r.Customer
+	return server, customer
+}
+
+func (t *Throttle) both(now time.Duration, r Request) (server, customer *counts) {
+	serverKey, customerKey := keysOf(r)
 	return t.get(now, serverKey), t.get(now, customerKey)
 }
 
@@ -86,20 +91,30 @@
 // served in time, the refusals of the server alone count. While it reports a free slot,
 // every request is sent.
 func (t *Throttle) Admit(now time.Duration, r Request, random float64) bool {
-	server, customer := t.both(now, r)
-	refuse := server.hopeless(minServerRefused)
-	recent := r.LoadKnown && r.LoadAge <= maxLoadAge
-	if !recent || r.Load.ExpectedWait(r.Priority) <= r.Wait {
-		refuse = min(refuse, customer.hopeless(minCustomerRefused))
-	}
-	if recent && r.Load.Waiting == 0 && r.Load.Running < r.Load.Slots || random >= refuse {
+	if random >= t.RefusedShare(now, r) {
 		return true
 	}
+	server, customer := t.both(now, r)
 	server.requests++
 	customer.requests++
 	return false
 }
 
+// RefusedShare returns the share of such requests that Admit refuses. It counts nothing.
+func (t *Throttle) RefusedShare(now time.Duration, r Request) float64 {
+	recent := r.LoadKnown && r.LoadAge <= maxLoadAge
+	if recent && r.Load.Waiting == 0 && r.Load.Running < r.Load.Slots {
+		return 0
+	}
+	serverKey, customerKey := keysOf(r)
+	server, customer := t.peek(now, serverKey), t.peek(now, customerKey)
+	refuse := server.hopeless(minServerRefused)
+	if !recent || r.Load.ExpectedWait(r.Priority) <= r.Wait {
+		refuse = min(refuse, customer.hopeless(minCustomerRefused))
+	}
+	return refuse
+}
+
 // Record counts the answer to a request that was sent. accepted is false if the home host
 // refused it because it could not serve it in time. Requests without an answer are not
 // counted: they are no refusals.
@@ -122,11 +137,23 @@
 		c = &counts{at: now}
 		t.counts[k] = c
 	}
-	f := math.Exp(-float64(now-c.at) / float64(window))
-	c.requests, c.accepted, c.at = c.requests*f, c.accepted*f, now
+	*c = c.decayed(now)
 	return c
 }
 
+// peek returns the counts of a key without changing them.
+func (t *Throttle) peek(now time.Duration, k key) counts {
+	if c, ok := t.counts[k]; ok {
+		return c.decayed(now)
+	}
+	return counts{at: now}
+}
+
+func (c *counts) decayed(now time.Duration) counts {
+	f := math.Exp(-float64(now-c.at) / float64(window))
+	return counts{requests: c.requests * f, accepted: c.accepted * f, at: now}
+}
+
 func (t *Throttle) removeDecayed(now time.Duration) {
 	for k, c := range t.counts {
 		if now-c.at > 4*window {
--- a/internal/admission/throttle_test.go
+++ b/internal/admission/throttle_test.go
@@ -127,3 +127,37 @@
 	assert.Assert(t, !throttle.Admit(100*time.Millisecond, tx, 0.5))
 	assert.Assert(t, throttle.Admit(100*time.Millisecond, single, 0))
 }
+
+// Guards against a stated share of refusals that differs from the refusals, and against
+// asking for it having an effect on them.
+func TestRefusedShareIsThatOfAdmit(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 5))
+	throttle := NewThrottle()
+	refused := 0
+	for i := range 20000 {
+		now := time.Duration(i) * 3 * time.Millisecond
+		r := Request{
+			Server: string(rune('a' + rng.IntN(3))), Customer: string(rune('x' + rng.IntN(3))), Priority: rng.IntN(2), Transaction: rng.IntN(4) == 0,
+			Wait: time.Duration(rng.IntN(100)) * time.Millisecond, LoadKnown: rng.IntN(2) == 0, LoadAge: time.Duration(rng.IntN(800)) * time.Millisecond,
+			Load: serverload.Load{Slots: 4, Running: 3 + rng.IntN(2), Waiting: rng.IntN(3), Wait: []time.Duration{50 * time.Millisecond}},
+		}
+		before := map[key]counts{}
+		for k, c := range throttle.counts {
+			before[k] = *c
+		}
+		share := throttle.RefusedShare(now, r)
+		assert.Equal(t, len(throttle.counts), len(before))
+		for k, c := range throttle.counts {
+			assert.Equal(t, *c, before[k])
+		}
+		random := rng.Float64()
+		admitted := throttle.Admit(now, r, random)
+		assert.Equal(t, admitted, random >= share, "request %d", i)
+		if !admitted {
+			refused++
+			continue
+		}
+		throttle.Record(now, r, rng.IntN(8) == 0)
+	}
+	assert.Assert(t, refused > 1000 && refused < 19000, "%d", refused)
+}
--- a/internal/cli/inspect.go
+++ b/internal/cli/inspect.go
@@ -96,12 +96,16 @@
 	host := newHostFlags(flags)
 	customer := flags.String(0, "customer", "", "customer; empty for a public route")
 	route := flags.String(0, "route", "", "route")
+	protocol := protocolFlag(flags)
+	kind := flags.String(0, "kind", "", "read, write or transaction; --protocol line only")
+	commit := flags.String(0, "commit", "", "TERM.NUMBER, the last commit of the session; --protocol line only")
 	return &ff.Command{
 		Name:      "explain",
-		Usage:     "cranberryhinge explain --host <IP:PORT> --route <NAME> [--customer <NAME>]",
+		Usage:     "cranberryhinge explain --host <IP:PORT> --route <NAME> [--customer <NAME>] [--protocol line --kind <KIND>]",
 		ShortHelp: "show which backend server serves a customer on a route, why, and what would be refused",
-		LongHelp:  "EXAMPLE\n  cranberryhinge explain --host 127.0.0.1:7401 --customer head-office --route release-north-status",
-		Flags:     flags,
+		LongHelp: "EXAMPLE\n  cranberryhinge explain --host 127.0.0.1:7401 --customer head-office --route release-north-status\n" +
+			"  cranberryhinge explain --protocol line --host 127.0.0.1:7401 --customer acme --route orders --kind read --commit 3.1042",
+		Flags: flags,
 		Exec: func(ctx context.Context, _ []string) error {
 			if err := host.require(); err != nil {
 				return err
@@ -109,6 +113,12 @@
 			if *route == "" {
 				return usagef("--route is missing")
 			}
+			if *protocol == protocolLine {
+				return a.explainLine(ctx, host, *customer, *route, *kind, *commit)
+			}
+			if *kind != "" || *commit != "" {
+				return usagef("--kind and --commit need --protocol line")
+			}
 			return a.explain(ctx, host, *customer, *route)
 		},
 	}
--- a/internal/frontend/admission.go
+++ b/internal/frontend/admission.go
@@ -31,7 +31,7 @@
 	}
 	f := o.s.f
 	now := o.now()
-	r.Load, r.LoadAge, r.LoadKnown = f.opt.Loads.Get(now, r.Server)
+	o.addLoad(now, &r)
 	f.mu.Lock()
 	admitted := f.throttle.Admit(now, r, rand.Float64())
 	f.mu.Unlock()
@@ -44,6 +44,11 @@
 		r.Server, r.LoadKnown, r.LoadAge.Round(time.Millisecond), r.Load.Waiting)
 }
 
+// addLoad adds what is known of the load of the request's server.
+func (o *operation) addLoad(now time.Duration, r *admission.Request) {
+	r.Load, r.LoadAge, r.LoadKnown = o.s.f.opt.Loads.Get(now, r.Server)
+}
+
 // recordAdmission records whether the home host accepted a request.
 func (o *operation) recordAdmission(req *peerpb.ExecuteRequest, err error) {
 	if !o.s.f.opt.ContentionControl {
--- a/internal/frontend/byload.go
+++ b/internal/frontend/byload.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
@@ -25,17 +26,29 @@
 // readCandidates returns the candidates for a read. The caller must hold the frontend's
 // lock.
 func (o *operation) readCandidates(v routing.GroupView) []routing.Candidate {
-	f := o.s.f
-	if !f.opt.RouteByLoad {
-		return f.balancer.ReadCandidates(o.now(), v, false)
-	}
-	candidates, spill := f.loadOrder.ReadCandidates(o.now(), v, o.readDemand())
-	if o.attempts == 0 && len(candidates) > 0 {
+	candidates, spill := o.orderReads(o.now(), o.s.f.loadOrder, v)
+	if o.s.f.opt.RouteByLoad && o.attempts == 0 && len(candidates) > 0 {
 		o.countOrder(candidates[0], spill)
 	}
 	return candidates
 }
 
+// orderReads returns the candidates for a read in the given order, and why it departs from
+// that by zone. It changes nothing but the random state of the order. The caller must hold
+// the frontend's lock.
+func (o *operation) orderReads(now time.Duration, order *routing.LoadOrder, v routing.GroupView) ([]routing.Candidate, routing.Spill) {
+	if !o.s.f.opt.RouteByLoad {
+		return order.ByZone(now, v), routing.SpillNone
+	}
+	return order.ReadCandidates(now, v, o.readDemand())
+}
+
+// firstUntried returns the index of the first candidate that the operation would try, -1
+// for none. The caller must hold the frontend's lock.
+func (o *operation) firstUntried(candidates []routing.Candidate) int {
+	return slices.IndexFunc(candidates, o.isUntried)
+}
+
 // countOrder counts why the first server was chosen and how old the knowledge of it is.
 func (o *operation) countOrder(first routing.Candidate, spill routing.Spill) {
 	f := o.s.f
--- a/internal/frontend/operation.go
+++ b/internal/frontend/operation.go
@@ -288,7 +288,7 @@
 	}
 	req.Floor = &peerpb.Token{Group: o.route.Group, Term: floor.Term, Position: floor.Number}
 	began := o.now()
-	limit := min(o.deadline, began+max(minReplicaTimeout, time.Duration(replicaAttemptShare*float64(o.latencyTarget()))))
+	limit := o.replicaLimit(began)
 	o.server = c.Server
 	o.recordSent(began, c)
 	resp, err := o.callHost(c.Home, req, limit)
@@ -304,6 +304,11 @@
 	return resp, err
 }
 
+// replicaLimit returns the end of an attempt at a replica.
+func (o *operation) replicaLimit(began time.Duration) time.Duration {
+	return min(o.deadline, began+max(minReplicaTimeout, time.Duration(replicaAttemptShare*float64(o.latencyTarget()))))
+}
+
 // replicaAttemptShare is the fraction of the latency target that an attempt at a
 // replica may take before another server is tried.
 const replicaAttemptShare = 0.8
@@ -316,13 +321,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	candidates := o.readCandidates(v)
-	for i, c := range candidates {
-		if o.isUntried(c) {
-			o.limitWait(candidates[i+1:])
-			return c, true
-		}
+	i := o.firstUntried(candidates)
+	if i < 0 {
+		return routing.Candidate{}, false
 	}
-	return routing.Candidate{}, false
+	o.limitWait(candidates[i+1:])
+	return candidates[i], true
 }
 
 // readFloor returns the log position that a replica must have applied. It returns
@@ -368,6 +372,12 @@
 // would make all statements miss their target.
 const slotWaitShare = 1.5
 
+// setTimes limits the request and its wait for a slot, when so much time is left.
+func (o *operation) setTimes(req *peerpb.ExecuteRequest, left time.Duration) {
+	req.TimeoutUs = left.Microseconds()
+	req.WaitUs = min(left, o.maxSlotWait()).Microseconds()
+}
+
 // callHost sends the request to a host and waits for the answer until limit.
 func (o *operation) callHost(host routing.Host, req *peerpb.ExecuteRequest, limit time.Duration) (*peerpb.ExecuteResponse, error) {
 	o.attempts++
@@ -377,8 +387,7 @@
 	if left <= 0 {
 		return nil, verdict.New(verdict.NotRun, verdict.DeadlineExceeded, "the deadline of the statement has passed")
 	}
-	req.TimeoutUs = left.Microseconds()
-	req.WaitUs = min(left, o.maxSlotWait()).Microseconds()
+	o.setTimes(req, left)
 	if o.s.f.opt.ContentionControl {
 		if err := o.admit(req); err != nil {
 			return nil, err
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/budget"
+	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/guard"
 	"github.com/cranberryhinge/cranberryhinge/internal/limit"
@@ -156,20 +157,29 @@
 	return s.client.Accept() == nil
 }
 
-// authorize resolves the route and checks the key against the current configuration.
-func (s *session) authorize() (config.Route, *verdict.Error) {
-	snapshot := s.f.opt.Snapshot()
-	fresh, age := s.f.opt.KeysFresh()
+// authorizeRoute resolves a route, unless the configuration was confirmed too long ago.
+func (f *Frontend) authorizeRoute(snapshot *catalog.Snapshot, name string) (config.Route, *verdict.Error) {
+	fresh, age := f.opt.KeysFresh()
 	if snapshot.Version() == 0 {
 		return config.Route{}, verdict.New(verdict.NotRun, verdict.StaleConfiguration, "the host has no configuration yet")
 	}
-	route, routeKnown := snapshot.Route(s.start.Route)
+	route, routeKnown := snapshot.Route(name)
 	if !fresh && !(routeKnown && route.Public) {
 		return config.Route{}, verdict.New(verdict.NotRun, verdict.StaleConfiguration, "the configuration was confirmed %v ago; try another host", age.Round(time.Millisecond))
 	}
 	if !routeKnown {
 		return config.Route{}, verdict.New(verdict.NotRun, verdict.UnknownRoute, "no such database")
 	}
+	return route, nil
+}
+
+// authorize resolves the route and checks the key against the current configuration.
+func (s *session) authorize() (config.Route, *verdict.Error) {
+	snapshot := s.f.opt.Snapshot()
+	route, refused := s.f.authorizeRoute(snapshot, s.start.Route)
+	if refused != nil {
+		return config.Route{}, refused
+	}
 	customer, keyKnown := snapshot.CustomerOf(s.start.Key)
 	switch {
 	case keyKnown && s.customer != "" && customer != s.customer:
@@ -429,10 +439,16 @@
 	return statement.Result{}
 }
 
+// isRateLimited reports whether an operation needs a token: public clients have no rate
+// limit of their own.
+func (s *session) isRateLimited(route config.Route) bool {
+	return s.customer != config.PublicCustomer || !route.Public
+}
+
 // admitOperation takes a token from the customer's rate limiter.
 func (s *session) admitOperation(route config.Route) *verdict.Error {
-	if s.customer == config.PublicCustomer && route.Public {
-		return nil // public clients have no rate limit of their own
+	if !s.isRateLimited(route) {
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), route.Deadline.Std())
 	defer cancel()
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/alitto/pond/v2"
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	grpcpeer "google.golang.org/grpc/peer"
@@ -21,6 +23,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 	"github.com/cranberryhinge/cranberryhinge/internal/routing"
 	"github.com/cranberryhinge/cranberryhinge/internal/serverload"
+	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/store"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
 	"github.com/cranberryhinge/cranberryhinge/internal/usage"
@@ -73,7 +76,7 @@
 		}
 		return resp, nil
 	}
-	if !c.directory.ownership.Alive(h.Name) {
+	if !c.isReachable(h.Name) {
 		return nil, verdict.New(verdict.NotRun, verdict.HomeUnreachable, "no recent heartbeat from host %s", h.Name)
 	}
 	client, err := c.pool.Client(h.Address)
@@ -102,6 +105,11 @@
 	return nil, verdict.New(verdict.MayHaveRun, verdict.ConnectionLost, "host %s: %v", h.Name, status.Convert(err).Message())
 }
 
+// isReachable reports whether a request to the host would be sent at all.
+func (c *peerCalls) isReachable(host string) bool {
+	return host == c.directory.self.Name || c.directory.ownership.Alive(host)
+}
+
 // recordLoad records the load in a message that was requested at asOf. The load may be nil.
 func (c *peerCalls) recordLoad(asOf time.Duration, load *peerpb.ServerLoad) {
 	if load != nil {
@@ -162,3 +170,38 @@
 func (a peerAPI) Grant(ctx context.Context, req *peerpb.GrantRequest) (*peerpb.GrantResponse, error) {
 	return a.minters.Grant(ctx, req)
 }
+
+// Explain describes how this host would route a request, without sending it.
+func (a peerAPI) Explain(_ context.Context, req *peerpb.ExplainRequest) (*peerpb.ExplainResponse, error) {
+	e, err := a.calls.frontend.Explain(frontend.Query{
+		Customer: req.GetCustomer(), Route: req.GetRoute(), Kind: req.GetKind(),
+		Commit: statement.Position{Term: req.GetCommit().GetTerm(), Number: req.GetCommit().GetPosition()},
+	})
+	var unknown *frontend.QueryError
+	switch {
+	case errors.As(err, &unknown):
+		return nil, status.Error(codes.NotFound, err.Error())
+	case err != nil:
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
+	e.Host = a.calls.directory.self.Name
+	a.calls.addUnreachable(e)
+	data, err := json.Marshal(e)
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	return &peerpb.ExplainResponse{Json: data}, nil
+}
+
+// addUnreachable adds which home hosts would not be called. Attempts there fail at once,
+// so that the next server is tried.
+func (c *peerCalls) addUnreachable(e *frontend.Explanation) {
+	for i := range e.Servers {
+		s := &e.Servers[i]
+		if s.Home != "" && !c.isReachable(s.Home) {
+			s.Obstacles = append(s.Obstacles, routing.Obstacle{
+				Reason: routing.ObstacleHomeUnreachable, Detail: "no recent heartbeat from host " + s.Home + "; an attempt fails at once",
+			})
+		}
+	}
+}
--- a/internal/routing/balancer.go
+++ b/internal/routing/balancer.go
@@ -275,8 +275,16 @@
 // avoids reports whether the candidate is tried after the others, because its home host
 // does not answer or because an attempt failed recently.
 func (b *Balancer) avoids(now time.Duration, v GroupView, c Candidate) bool {
-	h := b.health[newHealthKey(c)]
-	return v.Unreachable[c.Home.Name] || h != nil && now < h.backoffUntil
+	return v.Unreachable[c.Home.Name] || b.backoffLeft(now, c) > 0
+}
+
+// backoffLeft returns how long the server is tried after the others because an attempt
+// failed.
+func (b *Balancer) backoffLeft(now time.Duration, c Candidate) time.Duration {
+	if h := b.health[newHealthKey(c)]; h != nil {
+		return max(h.backoffUntil-now, 0)
+	}
+	return 0
 }
 
 func boolRank(b bool) int {
--- a/internal/routing/byload.go
+++ b/internal/routing/byload.go
@@ -140,7 +140,7 @@
 			}
 		}
 	}
-	eject := float64(total-outliers) >= minServingShare*float64(total)
+	eject := ejectionsHold(total, outliers)
 	for _, c := range list {
 		switch {
 		case c.Primary:
@@ -171,6 +171,11 @@
 	return out, spill
 }
 
+// ejectionsHold reports whether the ejections of so many of a group's replicas are heeded.
+func ejectionsHold(replicas, ejected int) bool {
+	return float64(replicas-ejected) >= minServingShare*float64(replicas)
+}
+
 // moveToRoom moves a server with room to the front when the first server would probably
 // answer too late, or when no server is in the own zone. It returns why a read leaves a
 // server of its own zone.
