--- a/internal/host/heartbeats.go
+++ b/internal/host/heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -338,17 +339,19 @@
 	return resp, nil
 }
 
-// knownLoads returns the loads of the servers of which this host is the home host and,
-// if all is set, the recent loads of the other servers.
+// knownLoads returns the loads to share of the servers of which this host is the home host
+// and, if all is set, of the other servers.
 func (c *peerCalls) knownLoads(now time.Duration, all bool) []serverload.Load {
-	loads := c.executor.Loads()
-	if !all {
-		return loads
-	}
-	for _, l := range loads {
+	own := map[string]bool{}
+	for _, l := range c.executor.Loads() {
+		own[l.Server] = true
 		c.loads.Record(l)
 	}
-	return c.loads.Recent(now)
+	shared := c.loads.Shared(now)
+	if all {
+		return shared
+	}
+	return slices.DeleteFunc(shared, func(l serverload.Load) bool { return !own[l.Server] })
 }
 
 // spaceKnowledge returns what this host knows of a space, with the changes after the
--- a/internal/serverload/serverload.go
+++ b/internal/serverload/serverload.go
@@ -11,6 +11,10 @@
 // MaxAge is the age from which on a load says nothing about the server any more.
 const MaxAge = 2 * time.Second
 
+// maxUnlimitedShared is the number of servers up to which the loads of all of them are
+// shared. Beyond it, heartbeats would grow with hosts times servers.
+const maxUnlimitedShared = 64
+
 // Load is the load of a backend server at one moment.
 type Load struct {
 	Server string
@@ -41,6 +45,12 @@
 	return l.Wait[min(max(priority, 0), len(l.Wait)-1)]
 }
 
+// Limits reports whether the load gives a reason to prefer another server: a server without
+// free slots, and one that is paced or ejected.
+func (l Load) Limits() bool {
+	return l.Ejected || l.Pace > 0 || l.Waiting > 0 || l.Running >= l.Slots
+}
+
 // Encode returns the message that carries the load at the time now.
 func Encode(now time.Duration, l Load) *peerpb.ServerLoad {
 	m := &peerpb.ServerLoad{
@@ -72,10 +82,14 @@
 type Table struct {
 	mu    sync.Mutex
 	loads map[string]Load
+	// limitedAt holds the time of the newest load of each server that Limits.
+	limitedAt map[string]time.Duration
 }
 
 // NewTable returns an empty Table.
-func NewTable() *Table { return &Table{loads: map[string]Load{}} }
+func NewTable() *Table {
+	return &Table{loads: map[string]Load{}, limitedAt: map[string]time.Duration{}}
+}
 
 // Record stores a load unless a newer one of the same server is known.
 func (t *Table) Record(l Load) {
@@ -83,6 +97,9 @@
 	defer t.mu.Unlock()
 	if old, ok := t.loads[l.Server]; !ok || l.MeasuredAt > old.MeasuredAt {
 		t.loads[l.Server] = l
+		if l.Limits() {
+			t.limitedAt[l.Server] = l.MeasuredAt
+		}
 	}
 }
 
@@ -96,17 +113,23 @@
 	return l, age, ok && age < MaxAge
 }
 
-// Recent returns the loads that are younger than MaxAge and removes the others.
-func (t *Table) Recent(now time.Duration) []Load {
+// Shared returns the loads that other hosts should know, and removes those of MaxAge and
+// more. With more than maxUnlimitedShared servers these are the loads of servers that were
+// limited less than MaxAge ago, so that the others also learn that a server is free again.
+func (t *Table) Shared(now time.Duration) []Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var recent []Load
+	all := len(t.loads) <= maxUnlimitedShared
+	var shared []Load
 	for server, l := range t.loads {
 		if now-l.MeasuredAt >= MaxAge {
 			delete(t.loads, server)
+			delete(t.limitedAt, server)
 			continue
 		}
-		recent = append(recent, l)
+		if at, ok := t.limitedAt[server]; all || ok && now-at < MaxAge {
+			shared = append(shared, l)
+		}
 	}
-	return recent
+	return shared
 }
--- a/internal/serverload/serverload_test.go
+++ b/internal/serverload/serverload_test.go
@@ -1,6 +1,7 @@
 package serverload
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -24,7 +25,31 @@
 	table.Record(Load{Server: "a", MeasuredAt: time.Second})
 	_, _, ok := table.Get(time.Second+MaxAge, "a")
 	assert.Assert(t, !ok)
-	assert.Equal(t, len(table.Recent(time.Second+MaxAge)), 0)
+	assert.Equal(t, len(table.Shared(time.Second+MaxAge)), 0)
+}
+
+// Guards against heartbeats that carry the loads of all servers, and against hosts that go
+// on avoiding a server that is free again.
+func TestOnlyLoadsOfLimitedServersAreShared(t *testing.T) {
+	table := NewTable()
+	shared := func(now time.Duration) int { return len(table.Shared(now)) }
+	for n := range maxUnlimitedShared {
+		table.Record(Load{Server: fmt.Sprint("idle", n), Slots: 4, Running: 3, MeasuredAt: time.Second})
+	}
+	assert.Equal(t, shared(time.Second), maxUnlimitedShared)
+	table.Record(Load{Server: "a", Slots: 4, Running: 3, MeasuredAt: time.Second})
+	assert.Equal(t, shared(time.Second), 0)
+	for i, l := range []Load{{Slots: 4, Running: 4}, {Slots: 4, Waiting: 1}, {Slots: 4, Pace: 2}, {Slots: 4, Ejected: true}} {
+		l.Server, l.MeasuredAt = string(rune('b'+i)), time.Second
+		table.Record(l)
+		assert.Equal(t, shared(time.Second), i+1)
+	}
+	free := time.Second + MaxAge - time.Millisecond
+	for n := range maxUnlimitedShared {
+		table.Record(Load{Server: fmt.Sprint("idle", n), Slots: 4, MeasuredAt: free})
+	}
+	table.Record(Load{Server: "b", Slots: 4, MeasuredAt: free})
+	assert.Equal(t, shared(free), 4)
 }
 
 // Guards against a load that looks younger after its way through the network.
