--- a/internal/admission/throttle.go
+++ b/internal/admission/throttle.go
@@ -56,9 +56,9 @@
 	at                 time.Duration
 }
 
-// hopeless returns the share of further requests that should not be sent, when so many
+// excessShare returns the share of further requests that should not be sent, when so many
 // refusals have no effect.
-func (c *counts) hopeless(without float64) float64 {
+func (c *counts) excessShare(without float64) float64 {
 	return max(c.requests-acceptMargin*c.accepted-without, 0) / (c.requests + 1)
 }
 
@@ -108,9 +108,9 @@
 	}
 	serverKey, customerKey := keysOf(r)
 	server, customer := t.peek(now, serverKey), t.peek(now, customerKey)
-	refuse := server.hopeless(minServerRefused)
+	refuse := server.excessShare(minServerRefused)
 	if !recent || r.Load.ExpectedWait(r.Priority) <= r.Wait {
-		refuse = min(refuse, customer.hopeless(minCustomerRefused))
+		refuse = min(refuse, customer.excessShare(minCustomerRefused))
 	}
 	return refuse
 }
