Count and log answers that may not belong to their statement

No logic is changed. The logs could not tell a repeated answer of a backend server from two statements that share a connection (docs/incidents/repeated-answers.md, hypotheses 2 and 3). correlation.Tracker decides for each answer of a connection of the line protocol whether it can be that of the outstanding statement; the host counts each finding as answers_DECISION_REASON and logs it with request id, server, connection and kind. So far the decision is only reported.

--- a/internal/host/heartbeats_test.go
+++ b/internal/host/heartbeats_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
+	"github.com/cranberryhinge/cranberryhinge/internal/correlation"
 	"github.com/cranberryhinge/cranberryhinge/internal/failover"
 	"github.com/cranberryhinge/cranberryhinge/internal/ownership"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
@@ -32,6 +33,9 @@
 	return catalog.Server{}, io.ErrUnexpectedEOF
 }
 
+// noServers returns no dialer, for hosts that use no backend server.
+func noServers(correlation.Observer) statement.Dialer { return nil }
+
 // newTestHost returns a host that is assembled but not running.
 func newTestHost(t testing.TB, name string) *Host {
 	data, err := os.ReadFile("../../examples/line-host.yaml")
@@ -42,7 +46,7 @@
 	assert.NilError(t, err)
 	s.Name = name
 	s.Listen = ListenSettings{Client: "127.0.0.1:0", Peer: "127.0.0.1:0", Ready: "127.0.0.1:0", Metrics: "127.0.0.1:0", Advertise: name + ":1"}
-	h, err := New(s, Adapters{Sources: testSources{}}, io.Discard)
+	h, err := New(s, Adapters{Sources: testSources{}, NewDialer: noServers}, io.Discard)
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		for _, l := range h.listeners {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -21,6 +21,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/budget"
 	"github.com/cranberryhinge/cranberryhinge/internal/catalog"
 	"github.com/cranberryhinge/cranberryhinge/internal/clock"
+	"github.com/cranberryhinge/cranberryhinge/internal/correlation"
 	"github.com/cranberryhinge/cranberryhinge/internal/customer"
 	"github.com/cranberryhinge/cranberryhinge/internal/executor"
 	"github.com/cranberryhinge/cranberryhinge/internal/failover"
@@ -67,10 +68,11 @@
 
 // Adapters are the implementations that a platform provides.
 type Adapters struct {
-	Table     store.TableService
-	Watcher   store.Watcher
-	Sources   catalog.Sources
-	Dialer    statement.Dialer
+	Table   store.TableService
+	Watcher store.Watcher
+	Sources catalog.Sources
+	// NewDialer returns a dialer of connections to backend servers.
+	NewDialer func(correlation.Observer) statement.Dialer
 	NewClient func(net.Conn, *budget.Lease) statement.Client
 	Promoter  failover.Promoter
 	// UsageReporter is needed if the settings turn usage reports on.
@@ -183,8 +185,9 @@
 		Clock: h.clock, Log: h.log, Counters: h.counters,
 	})
 	h.directory.ownership, h.directory.snapshot = h.ownership, h.catalog.Snapshot
+	dialer := a.NewDialer(h.recordCorrelation)
 	h.failover = failover.New(failover.Options{
-		Host: self.Name, Roles: h.directory, Directory: h.directory, Promoter: a.Promoter, Dialer: a.Dialer,
+		Host: self.Name, Roles: h.directory, Directory: h.directory, Promoter: a.Promoter, Dialer: dialer,
 		Clock: h.clock, Log: h.log, Counters: h.counters, Latencies: latencies,
 	})
 	usageSettings := usage.Settings{
@@ -196,7 +199,7 @@
 	}
 	loads := serverload.NewTable()
 	h.executor = executor.New(executor.Options{
-		Dialer: a.Dialer, Authority: h.failover, Snapshot: h.catalog.Snapshot, IsHomeHost: h.directory.isHomeHost,
+		Dialer: dialer, Authority: h.failover, Snapshot: h.catalog.Snapshot, IsHomeHost: h.directory.isHomeHost,
 		Usage: usageCounter, ReportLoads: a.Features.ContentionControl || a.Features.ServerSupervision, ContentionControl: a.Features.ContentionControl,
 		Supervision: executor.Supervision{Enabled: a.Features.ServerSupervision, Loads: loads},
 		Clock:       h.clock, Log: h.log, Counters: h.counters,
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -33,9 +33,12 @@
 	Execute
 	// Deallocate drops a prepared statement.
 	Deallocate
+	// QueryStatus and ResetSession are statements that only the proxy itself issues.
+	QueryStatus
+	ResetSession
 )
 
-var kindNames = [...]string{"unknown", "begin", "begin_read", "commit", "rollback", "read", "write", "set", "prepare", "execute", "deallocate"}
+var kindNames = [...]string{"unknown", "begin", "begin_read", "commit", "rollback", "read", "write", "set", "prepare", "execute", "deallocate", "query_status", "reset_session"}
 
 // String returns the name of the kind that is used in logs.
 func (k Kind) String() string { return kindNames[k] }
