--- a/internal/correlation/observe.go
+++ b/internal/correlation/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
 
 // Event is a finding on a connection that speaks against an answer.
@@ -15,6 +16,8 @@
 	// statement that the proxy has issued itself, and if none is outstanding.
 	RequestID string
 	Kind      statement.Kind
+	// Error is the reason of the error in the answer; empty for a success.
+	Error verdict.Reason
 }
 
 // Observer is told of every event. It must not block.
--- a/internal/host/correlation.go
+++ b/internal/host/correlation.go
@@ -12,5 +12,5 @@
 		return
 	}
 	h.log.Info().Str("id", e.RequestID).Str("server", e.Server).Uint64("connection", e.Connection).Str("kind", e.Kind.String()).
-		Str("decision", e.Decision.String()).Str("reason", string(e.Reason)).Msg("answer not matched")
+		Str("decision", e.Decision.String()).Str("reason", string(e.Reason)).Str("error", string(e.Error)).Msg("answer not matched")
 }
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -113,6 +113,9 @@
 	State State
 	// Position is the log position of the backend server after the statement.
 	Position Position
+	// Unconfirmed is set if the result may be that of an earlier statement, which the
+	// server has sent again.
+	Unconfirmed bool
 }
 
 // Target identifies the backend server to connect to.
@@ -131,6 +134,9 @@
 	// Term is the newest term that the server has recorded.
 	Term     uint64
 	Position Position
+	// Repeated is set if the connection has received the same report before. It may be
+	// out of date.
+	Repeated bool
 }
 
 // Command is a statement that a Conn runs, issued by a client or by the proxy itself.
