Match answers of databases to statements by what proves them

Cause: a connection matched answers to statements by order only. A database that repeats an answer while the next statement is outstanding shifts all later answers of the connection by one.

correlation.Tracker now decides for each answer. One whose signature the connection has seen, or whose form the statement can't have, is skipped if it was received before, and the statement's own answer is awaited; else the connection is closed and the statement may have run. A repeated error proves nothing: MayHaveRun, and the connection is closed. To keep promises true and rare errors few, a busy write is retried on another connection, and a connection of a primary is not used again after an error. An unsigned success can't be told from a copy: positions are taken from signed answers only, a read whose BEGIN may have failed carries its floor, and a write whose BEGIN may have failed may have run.

--- a/internal/correlation/tracker.go
+++ b/internal/correlation/tracker.go
@@ -31,9 +31,12 @@
 
 // Reasons.
 const (
-	RepeatedSignature   Reason = "repeated_signature"
-	RepeatedError       Reason = "repeated_error"
-	RepeatedStatus      Reason = "repeated_status"
+	RepeatedSignature Reason = "repeated_signature"
+	RepeatedError     Reason = "repeated_error"
+	// RepeatedStatus and RepeatedBegin are reasons why an accepted answer proves nothing.
+	RepeatedStatus Reason = "repeated_status"
+	RepeatedBegin  Reason = "repeated_begin"
+	// UnconfirmedBegin means that an error may be the answer to the BEGIN before.
 	UnconfirmedBegin    Reason = "unconfirmed_begin"
 	MissingSignature    Reason = "missing_signature"
 	UnexpectedSignature Reason = "unexpected_signature"
@@ -95,18 +98,22 @@
 	}
 	switch {
 	case kind == statement.QueryStatus:
-		// The report of an earlier query is out of date, but promises nothing.
+		// A report of an earlier query, or its error, promises nothing to callers.
 		if r.Err == nil && t.statusRows.contains(r.Rows[0]) {
 			return Finding{Accept, RepeatedStatus}
 		}
-	case r.Err != nil && t.errors.contains(errorDigest(r)):
-		return Finding{Refuse, RepeatedError}
 	case r.Err != nil && t.beginUnconfirmed:
 		return Finding{Refuse, UnconfirmedBegin}
+	case r.Err != nil && t.errors.contains(errorDigest(r)):
+		return Finding{Refuse, RepeatedError}
+	case isBegin(kind) && r.Err == nil && t.hasUnsigned[statement.InTransaction]:
+		return Finding{Accept, RepeatedBegin}
 	}
 	return Finding{}
 }
 
+func isBegin(kind statement.Kind) bool { return kind == statement.Begin || kind == statement.BeginRead }
+
 // misfit returns why the answer cannot be that of a statement of the kind, if so.
 func (t *Tracker) misfit(kind statement.Kind, r statement.Result, complete bool) Reason {
 	switch {
@@ -155,7 +162,7 @@
 	case kind == statement.QueryStatus:
 		t.statusRows.add(r.Rows[0], maxRows)
 	default:
-		if kind == statement.Begin || kind == statement.BeginRead {
+		if isBegin(kind) {
 			t.beginUnconfirmed = t.hasUnsigned[statement.InTransaction]
 		}
 		t.hasUnsigned[r.State] = true
@@ -181,10 +188,10 @@
 
 // stateAfter returns the state after the success of an unsigned statement.
 func (t *Tracker) stateAfter(kind statement.Kind) statement.State {
-	switch kind {
-	case statement.Begin, statement.BeginRead:
+	switch {
+	case isBegin(kind):
 		return statement.InTransaction
-	case statement.Rollback:
+	case kind == statement.Rollback:
 		return statement.Idle
 	}
 	return t.state
--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -82,12 +82,12 @@
 	}
 	tx := &transaction{pool: p, requestID: id, conn: conn, primary: c.req.GetPrimary()}
 	if err := c.checkConn(tx); err != nil {
-		p.finish(id, conn, false)
+		c.finish(tx, false)
 		return err
 	}
 	if c.req.GetBeginText() != "" {
 		if err := c.prepareConn(tx); err != nil {
-			p.finish(id, conn, false)
+			c.finish(tx, false)
 			return err
 		}
 		if err := c.begin(tx); err != nil {
@@ -164,8 +164,15 @@
 		return results, err
 	}
 	tx.conn.lastAnswer = now
-	last := results[len(results)-1]
-	c.x.opt.Authority.RecordAnswer(tx.pool.server.Group, tx.pool.server.Name, sent, last.Position)
+	for _, r := range results {
+		tx.conn.answeredError = tx.conn.answeredError || r.Err != nil
+	}
+	position := statement.Position{}
+	if last := results[len(results)-1]; last.Signature != "" {
+		// An unsigned answer may be a repetition with an earlier position.
+		position = last.Position
+	}
+	c.x.opt.Authority.RecordAnswer(tx.pool.server.Group, tx.pool.server.Name, sent, position)
 	return results, nil
 }
 
@@ -179,11 +186,12 @@
 		return err
 	}
 	if err != nil {
-		tx.pool.finish(tx.requestID, tx.conn, false)
+		c.finish(tx, false)
 		// The server rolls back an open transaction when its connection is closed, so
 		// that the verdict is NotRun.
 		return verdict.New(verdict.NotRun, verdict.From(err).Reason, "begin at %s: %v", tx.pool.server.Name, err)
 	}
+	tx.beginUnconfirmed = results[0].Unconfirmed
 	return nil
 }
 
@@ -201,7 +209,8 @@
 }
 
 // release ends a request whose connection is in the given state, and rolls back an
-// open transaction.
+// open transaction. A connection of the primary is not used again after an error, because
+// a later error could be a repetition of it, and would not show that a write has not run.
 func (c *call) release(tx *transaction, state statement.State) {
 	reuse := state == statement.Idle
 	if !reuse {
@@ -209,7 +218,15 @@
 		// The protocol does not define whether a rollback reverts session values.
 		tx.conn.valuesUncertain = tx.conn.valuesUncertain || tx.valuesSet
 	}
-	tx.pool.finish(tx.requestID, tx.conn, reuse)
+	c.finish(tx, reuse && !(tx.primary && tx.conn.answeredError))
+}
+
+// finish ends a request and closes its connection unless reuse is set.
+func (c *call) finish(tx *transaction, reuse bool) {
+	if tx.conn != nil {
+		tx.pool.finish(tx.requestID, tx.conn, reuse)
+		tx.conn = nil
+	}
 }
 
 // rollback rolls back the transaction on the connection and reports whether the
@@ -274,6 +291,7 @@
 		e := verdict.New(verdict.MayHaveRun, verdict.ProtocolViolation, "backend server %s reported an unexpected transaction state", tx.pool.server.Name)
 		return c.connFailed(tx, handle, inTx, e)
 	}
+	tx.beginUnconfirmed = false
 	if staysOpen && c.ctx.Err() != nil {
 		// The caller would run the rest of the transaction in another one if the
 		// statement were reported as a success.
@@ -330,7 +348,10 @@
 	if handle != 0 {
 		c.removeTransaction(handle)
 	}
-	tx.pool.finish(tx.requestID, tx.conn, false)
+	c.finish(tx, false)
+	if tx.beginUnconfirmed && c.isCommit() {
+		return e // the write may have run outside a transaction
+	}
 	if inTx && statement.Kind(c.req.GetKind()) != statement.Commit || !guard.Enabled(guard.Verdict) {
 		return verdict.New(verdict.NotRun, verdict.TransactionAborted, "the connection to %s ended: %s", tx.pool.server.Name, e.Message)
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -107,6 +107,9 @@
 	// primary is set when the transaction uses the server as the primary, which
 	// requires the authority of the group's owner.
 	primary bool
+	// beginUnconfirmed is set until the first statement has succeeded if the answer to BEGIN
+	// may have been that to an earlier one.
+	beginUnconfirmed bool
 	// valuesSet reports whether session values may have been set for the transaction.
 	valuesSet bool
 	// busy is set while a statement of the transaction runs. lastUsed is when the last
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -36,6 +36,8 @@
 	dialErr         error
 	maxOpen         int
 	open            int
+	// beginUnconfirmed is set if the answers to BEGIN may be repetitions.
+	beginUnconfirmed bool
 }
 
 type fakeConn struct {
@@ -100,7 +102,14 @@
 			return statement.Result{Err: verdict.New(verdict.NotRun, verdict.UnknownStatement, "none"), State: c.state}
 		}
 	}
-	return statement.Result{Signature: "sig", State: c.state, Position: statement.Position{Term: 1, Number: c.s.number}}
+	r := statement.Result{State: c.state, Position: statement.Position{Term: 1, Number: c.s.number}}
+	switch cmd.Kind {
+	case statement.Read, statement.Write, statement.Execute, statement.Commit:
+		r.Signature = "sig"
+	case statement.Begin:
+		r.Unconfirmed = c.s.beginUnconfirmed
+	}
+	return r
 }
 
 func (c *fakeConn) IsOpen() bool {
@@ -135,6 +144,7 @@
 	hasPrimary      bool
 	rejectsCommits  bool
 	notPrimaryCalls int
+	positions       []statement.Position
 }
 
 func (a *fakeAuthority) AwaitPrimary(_ context.Context, g string, read bool, _ time.Duration) (string, bool) {
@@ -147,7 +157,11 @@
 	return "db", a.hasPrimary
 }
 
-func (a *fakeAuthority) RecordAnswer(string, string, time.Duration, statement.Position) {}
+func (a *fakeAuthority) RecordAnswer(_, _ string, _ time.Duration, p statement.Position) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.positions = append(a.positions, p)
+}
 
 func (a *fakeAuthority) ConfirmCommit(context.Context, string, string, statement.Position, time.Duration) bool {
 	return !a.rejectsCommits
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -69,6 +69,8 @@
 	valuesUncertain bool
 	// lastAnswer is the time of the last answer on the connection.
 	lastAnswer time.Duration
+	// answeredError is set once the server has answered a statement with an error.
+	answeredError bool
 }
 
 // clearState clears the recorded state after the connection was reset.
--- a/internal/executor/prepare.go
+++ b/internal/executor/prepare.go
@@ -19,7 +19,7 @@
 		if err := c.prepareConn(tx); err != nil {
 			return statement.Result{}, err
 		}
-		results, err := c.exchangeCounted(tx, c.newCommand(inTx))
+		results, err := c.exchangeCounted(tx, c.newCommand(inTx, tx.beginUnconfirmed))
 		if err != nil {
 			return statement.Result{}, err
 		}
@@ -32,9 +32,26 @@
 		if r.Err.Reason == verdict.ServerBusy {
 			time.Sleep(busyRetryDelay << try)
 		}
+		if !inTx && tx.primary {
+			if err := c.replaceConn(tx); err != nil {
+				return statement.Result{}, err
+			}
+		}
 	}
 }
 
+// replaceConn gives the request another connection. On the same one, a second error could
+// be a repetition of the first, so that it would not show that a write has not run.
+// If it returns an error, tx has none or one that is to be closed.
+func (c *call) replaceConn(tx *transaction) error {
+	c.finish(tx, false)
+	var err error
+	if tx.requestID, tx.conn, err = c.acquire(tx.pool); err != nil {
+		return err
+	}
+	return c.checkConn(tx)
+}
+
 // exchangeCounted is exchange for the client's statement. It counts the request of a
 // statement outside a transaction, or of the first one inside, unless the server did not
 // run it.
@@ -71,14 +88,15 @@
 	return false
 }
 
-// newCommand returns the client's statement as a command for the connection.
-func (c *call) newCommand(inTx bool) statement.Command {
+// newCommand returns the client's statement as a command for the connection. A read whose
+// BEGIN may have failed requires the log position, too.
+func (c *call) newCommand(inTx, beginUnconfirmed bool) statement.Command {
 	kind := statement.Kind(c.req.GetKind())
 	cmd := statement.Command{Statement: statement.Statement{ID: c.req.GetId(), Kind: kind, Text: c.req.GetText()}}
 	if kind == statement.Execute {
 		cmd.Name, cmd.Arguments = preparedName(c.shape()), c.req.GetArguments()
 	}
-	if !inTx {
+	if !inTx || beginUnconfirmed && !c.req.GetShapeWrites() && (kind == statement.Read || kind == statement.Execute) {
 		cmd.Floor = requestFloor(c.req)
 	}
 	return cmd
--- a/internal/executor/supervision.go
+++ b/internal/executor/supervision.go
@@ -166,7 +166,7 @@
 		return answered
 	}
 	switch verdict.From(err).Reason {
-	case verdict.StatementFailed, verdict.BackendUnreachable, verdict.ConnectionLost, verdict.ProtocolViolation:
+	case verdict.StatementFailed, verdict.BackendUnreachable, verdict.ConnectionLost, verdict.ProtocolViolation, verdict.AnswerMismatch:
 		return failed
 	case verdict.AnswerOverdue:
 		return overdue
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -77,6 +77,9 @@
 	ConnectionLimit  Reason = "connection_limit"
 	WrongServer      Reason = "wrong_server"
 	UnknownStatement Reason = "unknown_statement"
+	// AnswerMismatch means that the server sent an answer that is not that of the
+	// statement.
+	AnswerMismatch Reason = "answer_mismatch"
 	// StatementFailed means that the server executed the statement and reported an
 	// error.
 	StatementFailed Reason = "statement_failed"
@@ -120,6 +123,7 @@
 	ConnectionLimit:         "53300",
 	WrongServer:             "57P03",
 	UnknownStatement:        "26000",
+	AnswerMismatch:          "08P01",
 	StatementFailed:         "XX000",
 	Internal:                "XX000",
 }
