Do not choose or date a primary's position by a repeated report

While the choice of a primary waits for a report, the server is asked once more on a new connection, where nothing can be a repetition; if that can't be opened, the report stays a lower bound. A position sample never goes back within a term.

--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -524,6 +524,16 @@
 	m.RecordAnswer(sent, server, status.Position)
 }
 
+// needsNewReport reports whether the choice of a primary waits for a report of the server.
+func (m *Machine) needsNewReport(server string) bool {
+	since := m.searchSince
+	if m.phase == Surveying {
+		since = m.phaseSince
+	}
+	r, ok := m.reports[server]
+	return since != 0 && (!ok || r.pollSentAt < since)
+}
+
 // OnServerBusy processes the result of a poll that the server answered without a
 // report, because it had no free slot or connection. Such a server is alive.
 func (m *Machine) OnServerBusy(sent time.Duration, server string) {
--- a/internal/failover/shell.go
+++ b/internal/failover/shell.go
@@ -258,23 +258,49 @@
 }
 
 // queryStatus queries the status of a server on a monitoring connection, which it
-// keeps for the next poll unless the query failed.
+// keeps for the next poll unless the query failed. A report that the connection has
+// received before may be out of date: if the choice of a primary waits for the report,
+// the server is asked again on a new connection, unless that cannot be opened.
 func (s *Shell) queryStatus(ctx context.Context, g *groupState, server string) (statement.Status, error) {
 	s.mu.Lock()
 	conn := g.monitorConns[server]
 	delete(g.monitorConns, server)
+	needsNewReport := g.machine.needsNewReport(server)
 	s.mu.Unlock()
-	if conn == nil {
-		t, ok := s.opt.Directory.Target(server)
-		if !ok {
-			return statement.Status{}, verdict.New(verdict.NotRun, verdict.BackendUnreachable, "%s is not registered", server)
+	if conn != nil && !conn.IsOpen() {
+		conn.Close()
+		conn = nil
+	}
+	if conn != nil {
+		status, err := s.queryOn(ctx, g, server, conn)
+		if err != nil || !status.Repeated || !needsNewReport {
+			return status, err
 		}
-		t.Customer = monitorCustomer
-		var err error
-		if conn, err = s.opt.Dialer.Dial(ctx, t); err != nil {
-			return statement.Status{}, err
+		s.opt.Counters.Add("status_polls_repeated", 1)
+		if conn, err = s.dialMonitor(ctx, server); err != nil {
+			return status, nil
 		}
+		return s.queryOn(ctx, g, server, conn)
+	}
+	conn, err := s.dialMonitor(ctx, server)
+	if err != nil {
+		return statement.Status{}, err
+	}
+	return s.queryOn(ctx, g, server, conn)
+}
+
+func (s *Shell) dialMonitor(ctx context.Context, server string) (statement.Conn, error) {
+	t, ok := s.opt.Directory.Target(server)
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.BackendUnreachable, "%s is not registered", server)
 	}
+	t.Customer = monitorCustomer
+	return s.opt.Dialer.Dial(ctx, t)
+}
+
+// queryOn queries the status on the connection. It keeps the connection in place of an
+// older one, or closes it if it is broken.
+func (s *Shell) queryOn(ctx context.Context, g *groupState, server string, conn statement.Conn) (statement.Status, error) {
 	deadline, _ := ctx.Deadline()
 	status, err := conn.Status(deadline)
 	if err != nil && verdict.From(err).Reason != verdict.ServerBusy {
@@ -306,9 +332,11 @@
 	s.logPhaseChange(now, name, g)
 }
 
+// recordSample records a position of the primary. A report may be out of date, so that it
+// does not take back a position that an earlier answer has shown.
 func (g *groupState) recordSample(at time.Duration, p statement.Position) {
 	if at > g.newestSample.polledAt && !p.IsZero() {
-		g.newestSample = positionSample{polledAt: at, position: p}
+		g.newestSample = positionSample{polledAt: at, position: statement.Max(p, g.newestSample.position)}
 	}
 }
 
--- a/internal/failover/shell_test.go
+++ b/internal/failover/shell_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/telemetry"
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
 
 // Guards against latency metrics from which the phases of a failover gap can't be
@@ -66,3 +67,74 @@
 		})
 	}
 }
+
+// monitorDialer opens connections that report the next of the positions, as a repetition
+// from the second report of a connection on.
+type monitorDialer struct {
+	statement.Dialer
+	opened  int
+	reports []uint64
+	err     error
+}
+
+type monitorConn struct {
+	statement.Conn
+	d       *monitorDialer
+	queries int
+}
+
+func (d *monitorDialer) Dial(context.Context, statement.Target) (statement.Conn, error) {
+	if d.err != nil {
+		return nil, d.err
+	}
+	d.opened++
+	return &monitorConn{d: d}, nil
+}
+
+func (c *monitorConn) Status(time.Time) (statement.Status, error) {
+	c.queries++
+	n := c.d.reports[0]
+	c.d.reports = c.d.reports[1:]
+	return statement.Status{Term: 1, Position: statement.Position{Term: 1, Number: n}, Repeated: c.queries > 1}, nil
+}
+
+func (c *monitorConn) IsOpen() bool { return true }
+func (c *monitorConn) Close()       {}
+
+// monitorTargets knows the address of every server.
+type monitorTargets struct{ Directory }
+
+func (monitorTargets) Target(string) (statement.Target, bool) { return statement.Target{}, true }
+
+// Guards against the promotion of a server that lags, because a report of another one was
+// the repetition of an earlier report.
+func TestRepeatedReportIsNotUsedForAChoice(t *testing.T) {
+	d := &monitorDialer{reports: []uint64{7, 7, 9, 7, 7}}
+	s := New(Options{Directory: monitorTargets{}, Dialer: d, Counters: telemetry.NewCounters()})
+	g := s.stateOf("g")
+	query := func() uint64 {
+		status, err := s.queryStatus(context.Background(), g, "a")
+		assert.NilError(t, err)
+		return status.Position.Number
+	}
+	g.machine.phase = Leading
+	assert.Equal(t, query(), uint64(7))
+	g.machine.phase, g.machine.phaseSince = Surveying, time.Second
+	assert.Equal(t, query(), uint64(9), "the report of a new connection")
+	assert.Equal(t, d.opened, 2)
+	g.machine.reports["a"] = serverReport{pollSentAt: 2 * time.Second}
+	assert.Equal(t, query(), uint64(7))
+	assert.Equal(t, d.opened, 2, "the choice has a new report already")
+	delete(g.machine.reports, "a")
+	d.err = verdict.New(verdict.NotRun, verdict.ConnectionLimit, "too many connections")
+	assert.Equal(t, query(), uint64(7), "better than no report")
+}
+
+// Guards against reads that miss commits, because a repeated report with an earlier position
+// has replaced a later position of the primary.
+func TestSampleKeepsTheLaterPosition(t *testing.T) {
+	g := &groupState{}
+	g.recordSample(time.Second, statement.Position{Term: 2, Number: 9})
+	g.recordSample(2*time.Second, statement.Position{Term: 2, Number: 7})
+	assert.Equal(t, g.newestSample, positionSample{polledAt: 2 * time.Second, position: statement.Position{Term: 2, Number: 9}})
+}
