Send texts that exercise the framing from the soak's callers

Change: half of the data, arguments of EXECUTE, shapes and session values hold line feeds, carriage returns, tabs, several blanks, letters beyond ASCII or lines that look like messages. Session values come back in the rows. The texts have a random source of their own for each caller.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -25,7 +25,7 @@
 // runCaller simulates one caller until ctx ends. It opens one session after another,
 // each on a randomly drawn host and route and for a randomly drawn customer.
 func (r *run) runCaller(ctx context.Context, i int) {
-	rnd := rand.New(rand.NewPCG(r.Plan.Seed, uint64(i)+1))
+	rnd, text := rand.New(rand.NewPCG(r.Plan.Seed, uint64(i)+1)), newTexts(r.Plan.Seed, i)
 	for ctx.Err() == nil {
 		p := r.processes[rnd.IntN(len(r.processes))]
 		routes, customers := r.env.Routes(), r.env.Customers()
@@ -44,20 +44,20 @@
 			clock.Sleep(ctx, reconnectDelay)
 			continue
 		}
-		r.runSession(ctx, rnd, p, c, name)
+		r.runSession(ctx, rnd, text, p, c, name)
 		c.Close()
 	}
 }
 
 // runSession runs a random number of operations on an open session. It returns when
 // they are done, the session is no longer usable or ctx ends.
-func (r *run) runSession(ctx context.Context, rnd *rand.Rand, p *process, c *standin.Caller, name string) {
-	if rnd.IntN(2) == 0 && !r.checkOutcome(p, time.Now(), c.Set(name)) {
+func (r *run) runSession(ctx context.Context, rnd *rand.Rand, text texts, p *process, c *standin.Caller, name string) {
+	if rnd.IntN(2) == 0 && !r.checkOutcome(p, time.Now(), c.Set(text.extend(name))) {
 		return
 	}
 	if rnd.IntN(2) == 0 {
 		// Sessions use the same statement names for different statements.
-		if !r.checkOutcome(p, time.Now(), c.Prepare("s1", fmt.Sprintf("READ q%d", rnd.IntN(3)))) || !r.checkOutcome(p, time.Now(), c.Prepare("s2", "WRITE w")) {
+		if !r.checkOutcome(p, time.Now(), c.Prepare("s1", text.extend(fmt.Sprintf("READ q%d", rnd.IntN(3))))) || !r.checkOutcome(p, time.Now(), c.Prepare("s2", text.extend("WRITE w"))) {
 			return
 		}
 	}
@@ -66,7 +66,7 @@
 		if ctx.Err() != nil || c.Closed() {
 			return
 		}
-		ok, sessionUsable := r.runOperation(rnd, p, c)
+		ok, sessionUsable := r.runOperation(rnd, text, p, c)
 		r.countOperation(ok)
 		if !sessionUsable {
 			return
@@ -90,11 +90,11 @@
 
 // runOperation runs a single statement or a transaction. ok reports whether it
 // succeeded, sessionUsable whether the session can run further operations.
-func (r *run) runOperation(rnd *rand.Rand, p *process, c *standin.Caller) (ok, sessionUsable bool) {
+func (r *run) runOperation(rnd *rand.Rand, text texts, p *process, c *standin.Caller) (ok, sessionUsable bool) {
 	item := fmt.Sprintf("i%d", rnd.IntN(50))
 	sent := time.Now()
 	if rnd.IntN(4) > 0 {
-		o := r.runStatement(rnd, c, item)
+		o := r.runStatement(rnd, text, c, item)
 		return o.OK, r.checkOutcome(p, sent, o)
 	}
 	read := rnd.IntN(3) == 0
@@ -108,7 +108,7 @@
 		if read || rnd.IntN(2) == 0 {
 			o = c.Read(item)
 		} else {
-			o = c.Write(item, "data")
+			o = c.Write(item, text.extend("data"))
 		}
 		if !o.OK {
 			return false, r.checkOutcome(p, sent, o) && r.checkOutcome(p, time.Now(), c.Rollback())
@@ -126,17 +126,17 @@
 	return o.OK, r.checkOutcome(p, sent, o)
 }
 
-func (r *run) runStatement(rnd *rand.Rand, c *standin.Caller, item string) standin.Outcome {
+func (r *run) runStatement(rnd *rand.Rand, text texts, c *standin.Caller, item string) standin.Outcome {
 	switch rnd.IntN(6) {
 	case 0:
-		return c.Write(item, "data")
+		return c.Write(item, text.extend("data"))
 	case 1:
 		if c.Prepared("s2") {
-			return c.Execute("s2", item+" data")
+			return c.Execute("s2", item+" "+text.extend("data"))
 		}
 	case 2:
 		if c.Prepared("s1") {
-			return c.Execute("s1", item)
+			return c.Execute("s1", text.extend(item))
 		}
 	}
 	return c.Read(item)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,6 +34,20 @@
 	assert.Equal(t, len(seen), len(singleKinds)+len(compoundKinds))
 }
 
+// Guards against texts that end a message and would break the caller's own framing, and
+// against texts that two draws of a seed give differently.
+func TestTextsFitIntoOneMessage(t *testing.T) {
+	a, b := newTexts(7, 3), newTexts(7, 3)
+	seen := map[string]bool{}
+	for range 1000 {
+		text := a.extend("plain")
+		assert.Equal(t, text, b.extend("plain"))
+		assert.Assert(t, strings.HasPrefix(text, "plain") && !strings.Contains(text, "\r\n"), "%q", text)
+		seen[text] = true
+	}
+	assert.Equal(t, len(seen), len(framingTexts)+1)
+}
+
 // Guards against breaches in a short run with real processes. The seed has led to a
 // breach before.
 func TestSoakSmoke(t *testing.T) {
