Inject repeated answers in the soak

The new kind repeat_answers makes a database, or all of a group, send 5 or 30 % of its answers twice and refuse 3 % of its statements for up to 5 s. TestSoakSmoke plays seed 12786 with it for 24 s, beside a kill, a stop, a cut and lost answers.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -31,6 +31,7 @@
 	duration := flags.Duration(0, "length", soakDuration, "length of a run")
 	dir := flags.String(0, "dir", "", "directory for logs and results; default is a new one under the temporary directory")
 	requirements := flags.String(0, "requirements", "", "comma-separated requirements in the settings of the hosts, which switch optional parts on")
+	optional := flags.String(0, "optional-kinds", "", "comma-separated kinds of events to inject beside those of the seed, such as repeat_answers")
 	replay := flags.String(0, "replay", "", "result.json of an earlier run whose plan is to be replayed")
 	return &ff.Command{
 		Name:      "soak",
@@ -49,9 +50,13 @@
 				}
 				*dir = d
 			}
+			kinds, err := soak.ParseOptionalKinds(*optional)
+			if err != nil {
+				return err
+			}
 			var plans []soak.Plan
 			for i := range *runs {
-				p := soak.NewPlan(*seed+uint64(i), *hosts, *callers, *duration)
+				p := soak.NewPlan(*seed+uint64(i), *hosts, *callers, *duration, kinds...)
 				if *requirements != "" {
 					p.Requirements = strings.Split(*requirements, ",")
 				}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Kind is a kind of fault or planned change.
@@ -35,7 +38,8 @@
 	LoseAnswers          Kind = "lose_answers"  // the primary drops a share of its answers
 	SlowDatabase         Kind = "slow_database"
 	DrainDatabase        Kind = "drain_database"
-	LosePromotionAnswers Kind = "late_orders" // promotions are carried out late, without an answer
+	RepeatAnswers        Kind = "repeat_answers" // a database, or all of a group, sends a share of its answers twice
+	LosePromotionAnswers Kind = "late_orders"    // promotions are carried out late, without an answer
 	ZoneOut              Kind = "zone_out"
 	WithdrawKey          Kind = "withdraw_key"
 	WriteConfiguration   Kind = "configure"       // the next version of the configuration is written
@@ -105,6 +109,32 @@
 	{WithdrawKeyWhileStoreSilent, maxCompoundDuration},
 }
 
+// optionalStream is added to the index of an optional kind for the random source of its
+// events.
+const optionalStream = 2 << 32
+
+// optionalKinds are drawn only for plans that ask for them, beside the events that the
+// seed draws without them.
+var optionalKinds = []kindSpec{
+	{RepeatAnswers, 5 * time.Second},
+}
+
+// ParseOptionalKinds returns the kinds of a comma-separated list, or an error if one of
+// them is not an optional kind. An empty list has no kinds.
+func ParseOptionalKinds(list string) ([]Kind, error) {
+	if list == "" {
+		return nil, nil
+	}
+	var kinds []Kind
+	for _, name := range strings.Split(list, ",") {
+		if !slices.ContainsFunc(optionalKinds, func(k kindSpec) bool { return k.kind == Kind(name) }) {
+			return nil, errors.Errorf("%q is not an optional kind of event", name)
+		}
+		kinds = append(kinds, Kind(name))
+	}
+	return kinds, nil
+}
+
 // plannedKinds are the kinds of planned operations. All other kinds are faults.
 var plannedKinds = map[Kind]bool{StopHost: true, DrainDatabase: true, ZoneOut: true, WithdrawKey: true, WriteConfiguration: true, WriteMalformedEntry: true}
 
@@ -149,6 +179,8 @@
 	// thinkTime; results of earlier versions have no such field.
 	ThinkTime time.Duration `json:"think"`
 	Events    []Event       `json:"events"`
+	// OptionalKinds are the kinds of events that were drawn in addition.
+	OptionalKinds []Kind `json:"optional_kinds,omitempty"`
 	// Requirements are the host's setting of that name.
 	Requirements []string `json:"requirements,omitempty"`
 }
@@ -182,10 +214,10 @@
 }
 
 // NewPlan draws a plan; the same arguments always give the same plan. Events are drawn
-// singly or in series of two or three of the same kind, and may overlap.
-func NewPlan(seed uint64, hosts, callers int, duration time.Duration) Plan {
-	r := rand.New(rand.NewPCG(seed, 0))
-	p := Plan{Seed: seed, Hosts: hosts, Groups: 2, Callers: callers, Duration: duration, Rate: nonLimitingRate, ThinkTime: thinkTime}
+// singly or in series of two or three of the same kind, and may overlap. The events of the
+// optional kinds do not change those that the seed draws without them.
+func NewPlan(seed uint64, hosts, callers int, duration time.Duration, optional ...Kind) Plan {
+	p := Plan{Seed: seed, Hosts: hosts, Groups: 2, Callers: callers, Duration: duration, Rate: nonLimitingRate, ThinkTime: thinkTime, OptionalKinds: optional}
 	profile := seed % uint64(len(profiles))
 	switch {
 	case profile == busyProfile:
@@ -193,7 +225,19 @@
 	case seed%3 == 0:
 		p.Rate = limitingRate
 	}
-	candidates := profileKinds(profiles[profile])
+	p.Events = drawEvents(rand.New(rand.NewPCG(seed, 0)), profileKinds(profiles[profile]), duration)
+	for i, k := range optionalKinds {
+		if slices.Contains(optional, k.kind) {
+			p.Events = append(p.Events, drawEvents(rand.New(rand.NewPCG(seed, optionalStream+uint64(i))), []kindSpec{k}, duration)...)
+		}
+	}
+	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
+	return p
+}
+
+// drawEvents draws events of the candidates for a run.
+func drawEvents(r *rand.Rand, candidates []kindSpec, duration time.Duration) []Event {
+	var events []Event
 	for at := warmUpTime; at < duration-recoveryTime; {
 		k := candidates[r.IntN(len(candidates))]
 		series := 1
@@ -208,11 +252,10 @@
 			if k.maxDuration == maxCompoundDuration {
 				e.Duration = max(e.Duration, minCompoundDuration)
 			}
-			p.Events = append(p.Events, e)
+			events = append(events, e)
 			at += time.Duration(r.Int64N(int64(700 * time.Millisecond)))
 		}
 		at += time.Duration(r.Int64N(int64(2500 * time.Millisecond)))
 	}
-	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
-	return p
+	return events
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -41,6 +41,8 @@
 	// FinalServedShare is the share of operations in the final window that were
 	// served; 1 if there were none.
 	FinalServedShare float64 `json:"last_share"`
+	// RepeatedAnswers is the number of answers that databases sent a second time.
+	RepeatedAnswers int64 `json:"repeated_answers,omitempty"`
 }
 
 // zones are the availability zones of a run.
@@ -81,6 +83,7 @@
 	attempted, served           atomic.Int64
 	finalAttempted, finalServed atomic.Int64
 	sessions                    atomic.Int64
+	repeats                     repeatCounts
 
 	mu sync.Mutex
 	// lastFaultEnd is the latest end of all unplanned faults so far.
@@ -299,6 +302,8 @@
 		d.SetAnswerLoss(0.2)
 		time.Sleep(e.Duration)
 		d.SetAnswerLoss(0)
+	case RepeatAnswers:
+		r.repeatAnswers(e, g, d)
 	case SlowDatabase:
 		d.SetExtraLatency(60 * time.Millisecond)
 		time.Sleep(e.Duration)
@@ -329,7 +334,7 @@
 // result returns the figures of the run and all breaches. It records a breach if service
 // did not recover, except in runs with a limiting rate.
 func (r *run) result() Result {
-	res := Result{Plan: r.Plan, Attempted: r.attempted.Load(), Served: r.served.Load(), FinalServedShare: 1}
+	res := Result{Plan: r.Plan, Attempted: r.attempted.Load(), Served: r.served.Load(), FinalServedShare: 1, RepeatedAnswers: r.repeatedAnswers()}
 	if n := r.finalAttempted.Load(); n > 0 {
 		res.FinalServedShare = float64(r.finalServed.Load()) / float64(n)
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -34,6 +35,27 @@
 	assert.Equal(t, len(seen), len(singleKinds)+len(compoundKinds))
 }
 
+// Guards against optional kinds that change the events of recorded seeds, that are not
+// drawn, or whose events reach into the final window.
+func TestOptionalKindsKeepThePlan(t *testing.T) {
+	for seed := range uint64(600) {
+		plain, more := NewPlan(seed, 6, 24, time.Minute), NewPlan(seed, 6, 24, time.Minute, RepeatAnswers)
+		for _, e := range more.Events {
+			assert.Assert(t, e.At+e.Duration < time.Minute-finalWindow, "event %s of seed %d lasts into the final window", e, seed)
+		}
+		all := len(more.Events)
+		more.Events = slices.DeleteFunc(more.Events, func(e Event) bool { return e.Kind == RepeatAnswers })
+		assert.Assert(t, len(more.Events) < all, "seed %d", seed)
+		more.OptionalKinds = nil
+		assert.DeepEqual(t, more, plain)
+	}
+	kinds, err := ParseOptionalKinds("repeat_answers")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, kinds, []Kind{RepeatAnswers})
+	_, err = ParseOptionalKinds("kill_host")
+	assert.ErrorContains(t, err, "not an optional kind")
+}
+
 // Guards against texts that end a message and would break the caller's own framing, and
 // against texts that two draws of a seed give differently.
 func TestTextsFitIntoOneMessage(t *testing.T) {
@@ -64,6 +86,18 @@
 	assert.Assert(t, r.Served > 200, "%d served", r.Served)
 	_, err = os.Stat(filepath.Join(dir, "result.json"))
 	assert.NilError(t, err)
+	t.Run("repeated answers", func(t *testing.T) { checkRepeatedAnswers(t, binary) })
+}
+
+// checkRepeatedAnswers guards against answers that callers get although they belong to
+// other statements, when databases answer twice.
+func checkRepeatedAnswers(t *testing.T, binary string) {
+	const seed = 12786 // repeats beside a kill, a stop, a cut and lost answers
+	r, err := Run(context.Background(), Options{Plan: NewPlan(seed, 4, 8, 24*time.Second, RepeatAnswers), Binary: binary, Dir: t.TempDir(), Out: io.Discard})
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Breaches), 0, "%v", r.Breaches)
+	assert.Assert(t, r.Served > 200, "%d served", r.Served)
+	assert.Assert(t, r.RepeatedAnswers > 20, "%d repeated answers", r.RepeatedAnswers)
 }
 
 // Guards against a result that is formed twice, so that result.json and the caller get
