Time a cut in the soak before waiting for the restart of its host

Cause: the harness. checkOutcome read the start of the last stop under the lock of the process before it took the time of the cut. A restart holds that lock while it writes the settings file. Beside load this write took 3.1 to 4.0 s (the start of the program itself 0.3 to 35 ms), and the callers whose requests had been cut at once waited for it.

Change: the time of the cut is taken first, and the start of the last stop has no lock. The tolerance is unchanged. The stop period now ends by the time of the cut too, which counts more requests.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -147,16 +147,17 @@
 // seed 204, such requests are cut 15 to 63 µs after they are sent.
 const cutTolerance = 200 * time.Millisecond
 
-// checkOutcome reports whether the session is still usable after an outcome. It records
-// a breach if a planned stop cut the request, except near an unplanned fault or when
-// the stop ended long before.
+// checkOutcome reports whether the session is still usable after an outcome that the caller
+// has just received. It records a breach if a planned stop cut the request, except near an
+// unplanned fault or when the stop ended long before.
 func (r *run) checkOutcome(p *process, sent time.Time, o standin.Outcome) bool {
+	received := time.Now() // before any lock is taken
 	if !o.Cut {
 		return o.State != "" && o.Code != "DENIED"
 	}
 	stopTime := p.lastStopTime()
-	inStopPeriod := sent.After(stopTime) && time.Since(stopTime) < stopGrace+time.Second
-	ran, elapsed := r.env.Oracle.HasRun(o.ID), time.Since(sent)
+	inStopPeriod := sent.After(stopTime) && received.Sub(stopTime) < stopGrace+time.Second
+	ran, elapsed := r.env.Oracle.HasRun(o.ID), received.Sub(sent)
 	if inStopPeriod && r.noRecentFault(sent) && (ran || elapsed > cutTolerance) {
 		r.env.Oracle.RecordBreach("LOST: %s, sent %v after the stop of %s, was cut %v later, ran %t",
 			o.ID, sent.Sub(stopTime), p.settings.Name, elapsed, ran)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -5,6 +5,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,8 +29,11 @@
 	cmd       *exec.Cmd
 	exited    chan struct{}
 	shouldRun bool
-	lastStop  time.Time // start of the last planned stop
 	logFile   *os.File
+
+	// lastStop is the start of the last planned stop, nil if there was none. It is not guarded
+	// by mu, which a restart holds while it writes files: callers must not wait for that.
+	lastStop atomic.Pointer[time.Time]
 }
 
 // start starts the host. Until shouldRun is cleared, the host is restarted whenever it
@@ -114,7 +118,8 @@
 func (p *process) stopAndRestart() bool {
 	p.mu.Lock()
 	p.shouldRun = false
-	p.lastStop = time.Now()
+	now := time.Now()
+	p.lastStop.Store(&now)
 	exited := p.exited
 	p.mu.Unlock()
 	p.signal(syscall.SIGTERM)
@@ -150,7 +155,8 @@
 
 // lastStopTime returns the start of the last planned stop; zero if there was none.
 func (p *process) lastStopTime() time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.lastStop
+	if t := p.lastStop.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
 }
