Let nothing rest on a repeated report of a server

A report that may be a repetition now counts as a lower bound of the position and as a sign of life. Where something rests on it (a survey, an owner without a current position, a primary that reports another role, a promoted server that reports its lead), the server is asked once more on a new connection; if that can't be opened, the server counts as busy, but for the end of a promotion.

--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -393,7 +393,7 @@
 		m.primary, m.lastContactAt, m.failedPolls, m.refusedPolls = m.target, r.receivedAt, 0, 0
 		m.recordTerm(r.status)
 		m.lastPosition, m.unusableSince = r.status.Position, 0
-		m.positionCurrent = m.usableSince != 0 && r.pollSentAt >= m.usableSince
+		m.positionCurrent = m.usableSince != 0 && r.pollSentAt >= m.usableSince && !r.status.Repeated
 		for _, c := range m.contacts {
 			c.floor = statement.Position{} // a replica that was ahead is rolled back
 		}
@@ -516,7 +516,18 @@
 		}
 		return
 	}
+	if status.Repeated && m.phase != WaitingForPromotion && m.mustConfirm(server, status) {
+		// The server is alive and has this position or a later one.
+		m.contact(server).busyAt = sent
+		m.recordContact(sent, server, status.Position)
+		return
+	}
 	m.reports[server] = serverReport{status: status, pollSentAt: sent, receivedAt: now}
+	if status.Repeated {
+		m.recordContact(sent, server, status.Position)
+		return
+	}
+	m.contact(server).newReportAt = sent
 	if server == m.primary && m.phase == Leading && !status.Primary {
 		m.enterPhase(now, Surveying, "the primary has lost the lead")
 		return
@@ -524,14 +535,27 @@
 	m.RecordAnswer(sent, server, status.Position)
 }
 
-// needsNewReport reports whether the choice of a primary waits for a report of the server.
+// needsNewReport reports whether the machine waits for a report of the server that is not
+// the repetition of an earlier one.
 func (m *Machine) needsNewReport(server string) bool {
 	since := m.searchSince
-	if m.phase == Surveying {
+	switch {
+	case m.phase == Surveying:
+		since = m.phaseSince
+	case m.phase == Leading && server == m.primary && !m.positionCurrent:
+		since = m.usableSince
+	case m.phase == WaitingForPromotion && server == m.target:
 		since = m.phaseSince
 	}
-	r, ok := m.reports[server]
-	return since != 0 && (!ok || r.pollSentAt < since)
+	return since != 0 && m.contact(server).newReportAt < since
+}
+
+// mustConfirm reports whether the report, which may be a repetition, has to be confirmed
+// by a new one.
+func (m *Machine) mustConfirm(server string, status statement.Status) bool {
+	return m.needsNewReport(server) ||
+		m.phase == Leading && server == m.primary && !status.Primary ||
+		m.phase == WaitingForPromotion && server == m.target && status.Primary
 }
 
 // OnServerBusy processes the result of a poll that the server answered without a
@@ -546,6 +570,14 @@
 // time sent. The position counts in every phase, because commits of open transactions
 // are acknowledged while the primary is replaced.
 func (m *Machine) RecordAnswer(sent time.Duration, server string, p statement.Position) {
+	m.recordContact(sent, server, p)
+	if m.phase == Leading && server == m.primary && m.usableSince != 0 && sent >= m.usableSince && !p.IsZero() {
+		m.positionCurrent = true
+	}
+}
+
+// recordContact is RecordAnswer for a position that may be out of date.
+func (m *Machine) recordContact(sent time.Duration, server string, p statement.Position) {
 	if m.phase == Idle {
 		return
 	}
@@ -560,9 +592,6 @@
 	}
 	m.lastContactAt = max(m.lastContactAt, sent)
 	m.failedPolls, m.refusedPolls = 0, 0
-	if m.usableSince != 0 && sent >= m.usableSince && !p.IsZero() {
-		m.positionCurrent = true
-	}
 }
 
 // KeepsCommit reports whether a commit that the server has acknowledged, at the position
--- a/internal/failover/review43_test.go
+++ b/internal/failover/repeated_test.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// Guards against the same, and against reads that miss commits: no second report is asked
+// Guards against a position that stays out of date, and reads that miss commits: no new report is asked
 // for while the owner has no current position of the primary.
 func TestOwnerWithoutACurrentPositionNeedsANewReport(t *testing.T) {
 	for _, phase := range []Phase{WaitingForPromotion, Leading} {
--- a/internal/failover/shell.go
+++ b/internal/failover/shell.go
@@ -245,8 +245,8 @@
 		s.opt.Log.Info().Str("group", name).Str("server", server).Err(err).Msg("status poll failed")
 	}
 	g.machine.OnPollResult(now, sent, server, status, err, refused)
-	if primary, ok := g.machine.Primary(); ok && primary == server && err == nil {
-		g.recordSample(sent, status.Position)
+	if primary, ok := g.machine.Primary(); ok && primary == server && err == nil && (!status.Repeated || g.machine.positionCurrent) {
+		g.recordSample(sent, statement.Max(status.Position, g.machine.lastPosition))
 	}
 	s.logPhaseChange(now, name, g)
 }
@@ -259,13 +259,12 @@
 
 // queryStatus queries the status of a server on a monitoring connection, which it
 // keeps for the next poll unless the query failed. A report that the connection has
-// received before may be out of date: if the choice of a primary waits for the report,
-// the server is asked again on a new connection, unless that cannot be opened.
+// received before may be out of date: if something rests on the report, the server is
+// asked again on a new connection, unless that cannot be opened.
 func (s *Shell) queryStatus(ctx context.Context, g *groupState, server string) (statement.Status, error) {
 	s.mu.Lock()
 	conn := g.monitorConns[server]
 	delete(g.monitorConns, server)
-	needsNewReport := g.machine.needsNewReport(server)
 	s.mu.Unlock()
 	if conn != nil && !conn.IsOpen() {
 		conn.Close()
@@ -273,7 +272,7 @@
 	}
 	if conn != nil {
 		status, err := s.queryOn(ctx, g, server, conn)
-		if err != nil || !status.Repeated || !needsNewReport {
+		if err != nil || !status.Repeated || !s.mustConfirm(g, server, status) {
 			return status, err
 		}
 		s.opt.Counters.Add("status_polls_repeated", 1)
@@ -289,6 +288,12 @@
 	return s.queryOn(ctx, g, server, conn)
 }
 
+func (s *Shell) mustConfirm(g *groupState, server string, status statement.Status) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return g.machine.mustConfirm(server, status)
+}
+
 func (s *Shell) dialMonitor(ctx context.Context, server string) (statement.Conn, error) {
 	t, ok := s.opt.Directory.Target(server)
 	if !ok {
--- a/internal/failover/shell_test.go
+++ b/internal/failover/shell_test.go
@@ -81,6 +81,7 @@
 	statement.Conn
 	d       *monitorDialer
 	queries int
+	unread  bool
 }
 
 func (d *monitorDialer) Dial(context.Context, statement.Target) (statement.Conn, error) {
@@ -98,7 +99,7 @@
 	return statement.Status{Term: 1, Position: statement.Position{Term: 1, Number: n}, Repeated: c.queries > 1}, nil
 }
 
-func (c *monitorConn) IsOpen() bool { return true }
+func (c *monitorConn) IsOpen() bool { return !c.unread }
 func (c *monitorConn) Close()       {}
 
 // monitorTargets knows the address of every server.
@@ -122,14 +123,29 @@
 	g.machine.phase, g.machine.phaseSince = Surveying, time.Second
 	assert.Equal(t, query(), uint64(9), "the report of a new connection")
 	assert.Equal(t, d.opened, 2)
-	g.machine.reports["a"] = serverReport{pollSentAt: 2 * time.Second}
+	g.machine.contact("a").newReportAt = 2 * time.Second
 	assert.Equal(t, query(), uint64(7))
 	assert.Equal(t, d.opened, 2, "the choice has a new report already")
-	delete(g.machine.reports, "a")
+	g.machine.contact("a").newReportAt = 0
 	d.err = verdict.New(verdict.NotRun, verdict.ConnectionLimit, "too many connections")
 	assert.Equal(t, query(), uint64(7), "better than no report")
 }
 
+// Guards against reports that are each one query old, because a repetition has arrived between
+// two queries.
+func TestMonitoringConnectionWithUnreadBytesIsReplaced(t *testing.T) {
+	d := &monitorDialer{reports: []uint64{7, 8}}
+	s := New(Options{Directory: monitorTargets{}, Dialer: d, Counters: telemetry.NewCounters()})
+	g := s.stateOf("g")
+	for n := range 2 {
+		status, err := s.queryStatus(context.Background(), g, "a")
+		assert.NilError(t, err)
+		assert.Assert(t, !status.Repeated)
+		assert.Equal(t, d.opened, n+1)
+		g.monitorConns["a"].(*monitorConn).unread = true
+	}
+}
+
 // Guards against reads that miss commits, because a repeated report with an earlier position
 // has replaced a later position of the primary.
 func TestSampleKeepsTheLaterPosition(t *testing.T) {
--- a/internal/failover/successor.go
+++ b/internal/failover/successor.go
@@ -39,7 +39,10 @@
 	// to answer, refusedAt that of the newest one whose connection was refused.
 	busyAt, refusedAt time.Duration
 	polledAt          time.Duration
-	incarnation       int64
+	// newReportAt is the time at which the newest poll was sent that was answered with a
+	// report that the connection had not received before.
+	newReportAt time.Duration
+	incarnation int64
 }
 
 func (m *Machine) contact(server string) *serverContact {
