Answer COMMIT in doubt after a write that may have run by itself

The session now remembers such a write. TestCommitAfterAWriteThatMayHaveRunIsNoPromise failed before.

--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -80,6 +80,8 @@
 	failed bool
 	// mayHaveRun is set once a statement of the transaction may have run.
 	mayHaveRun bool
+	// writeInDoubt is set once a write may have run outside the transaction.
+	writeInDoubt bool
 }
 
 func newSession(f *Frontend, c statement.Client, lease *budget.Lease) *session {
@@ -322,8 +324,12 @@
 		s.tx = nil
 		return statement.Result{}
 	case statement.Commit:
+		v := verdict.NotRun
+		if s.tx.writeInDoubt {
+			v = verdict.MayHaveRun
+		}
 		s.tx = nil
-		return statement.Result{Err: verdict.New(verdict.NotRun, verdict.TransactionAborted, "the transaction had failed and was rolled back")}
+		return statement.Result{Err: verdict.New(v, verdict.TransactionAborted, "the transaction had failed and was rolled back")}
 	}
 	return s.protocolViolation("the transaction has failed; only commit and rollback are accepted")
 }
@@ -535,6 +541,9 @@
 	if r.Err == nil || r.Err.Verdict != verdict.NotRun || r.Err.Reason == verdict.TransactionAborted {
 		s.tx.mayHaveRun = true
 	}
+	if r.Err != nil && r.Err.Verdict == verdict.MayHaveRun && o.isWrite() {
+		s.tx.writeInDoubt = true
+	}
 	return r
 }
 
