Take no error for new that differs from an earlier one by the state only

The state is no part of what identifies an error any more.

Three gaps next to it: an error behind any unsigned success that may be a copy, not only behind BEGIN, may be the answer that was overtaken, and is refused; reports behind a repeated report or BUSY are marked on that connection; a refused error keeps its reason, so that a busy server does not count as failing, a lost lead is noticed, and a repeated TIMEOUT is no silence.

--- a/internal/correlation/tracker.go
+++ b/internal/correlation/tracker.go
@@ -33,11 +33,12 @@
 const (
 	RepeatedSignature Reason = "repeated_signature"
 	RepeatedError     Reason = "repeated_error"
-	// RepeatedStatus and RepeatedBegin are reasons why an accepted answer proves nothing.
-	RepeatedStatus Reason = "repeated_status"
-	RepeatedBegin  Reason = "repeated_begin"
-	// UnconfirmedBegin means that an error may be the answer to the BEGIN before.
-	UnconfirmedBegin    Reason = "unconfirmed_begin"
+	// RepeatedStatus and RepeatedSuccess are reasons why an accepted answer proves nothing.
+	RepeatedStatus  Reason = "repeated_status"
+	RepeatedSuccess Reason = "repeated_success"
+	// OvertakenError means that an error may be the answer to an unsigned statement before,
+	// for which a repeated success was accepted.
+	OvertakenError      Reason = "overtaken_error"
 	MissingSignature    Reason = "missing_signature"
 	UnexpectedSignature Reason = "unexpected_signature"
 	UnexpectedRows      Reason = "unexpected_rows"
@@ -71,9 +72,12 @@
 	statusRows recentSet
 	// hasUnsigned holds, by state, whether an unsigned success was received.
 	hasUnsigned [statement.Failed + 1]bool
-	// beginUnconfirmed is set while the answer that was accepted for BEGIN may have been a
-	// repetition, so that BEGIN may have failed.
-	beginUnconfirmed bool
+	// unconfirmed is set while an accepted unsigned success may have been a repetition, so
+	// that the error which the statement got may follow.
+	unconfirmed bool
+	// reportsUnconfirmed is set once an accepted answer to a status query may have been a
+	// repetition, so that every later one may be that to the query before.
+	reportsUnconfirmed bool
 }
 
 // Check decides on the next answer, where kind is the kind of the outstanding statement.
@@ -82,6 +86,8 @@
 	f := t.decide(kind, r, complete)
 	if f.Decision == Accept {
 		t.record(kind, r)
+		t.unconfirmed = t.unconfirmed && r.Signature == "" || f.Reason == RepeatedSuccess
+		t.reportsUnconfirmed = t.reportsUnconfirmed || f.Reason == RepeatedStatus
 	}
 	return f
 }
@@ -99,15 +105,15 @@
 	switch {
 	case kind == statement.QueryStatus:
 		// A report of an earlier query, or its error, promises nothing to callers.
-		if r.Err == nil && t.statusRows.contains(r.Rows[0]) {
+		if t.reportsUnconfirmed || t.wasReceived(r, complete) {
 			return Finding{Accept, RepeatedStatus}
 		}
-	case r.Err != nil && t.beginUnconfirmed:
-		return Finding{Refuse, UnconfirmedBegin}
-	case r.Err != nil && t.errors.contains(errorDigest(r)):
+	case r.Err != nil && t.errors.contains(r.Err.Message):
 		return Finding{Refuse, RepeatedError}
-	case isBegin(kind) && r.Err == nil && t.hasUnsigned[statement.InTransaction]:
-		return Finding{Accept, RepeatedBegin}
+	case r.Err != nil && t.unconfirmed:
+		return Finding{Refuse, OvertakenError}
+	case r.Err == nil && r.Signature == "" && t.wasReceived(r, complete):
+		return Finding{Accept, RepeatedSuccess}
 	}
 	return Finding{}
 }
@@ -141,7 +147,7 @@
 	case !complete:
 		return len(r.Rows) == 0 && r.State == statement.Idle
 	case r.Err != nil:
-		return t.errors.contains(errorDigest(r))
+		return t.errors.contains(r.Err.Message)
 	case r.Signature != "":
 		return false
 	case len(r.Rows) == 1:
@@ -155,16 +161,12 @@
 	t.state = r.State
 	switch {
 	case r.Err != nil:
-		t.errors.add(errorDigest(r), maxErrors)
+		t.errors.add(r.Err.Message, maxErrors)
 	case r.Signature != "":
 		t.signatures.add(r.Signature, maxSignatures)
-		t.beginUnconfirmed = false
 	case kind == statement.QueryStatus:
 		t.statusRows.add(r.Rows[0], maxRows)
 	default:
-		if isBegin(kind) {
-			t.beginUnconfirmed = t.hasUnsigned[statement.InTransaction]
-		}
 		t.hasUnsigned[r.State] = true
 	}
 }
@@ -197,12 +199,6 @@
 	return t.state
 }
 
-// errorDigest identifies an error answer. The position is not part of it, because a
-// repetition may carry the present one.
-func errorDigest(r statement.Result) string {
-	return string(rune('0'+r.State)) + r.Err.Message
-}
-
 // recentSet holds hashes of the last texts that were added.
 type recentSet struct {
 	hashes []uint64
--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -349,6 +349,7 @@
 		c.removeTransaction(handle)
 	}
 	c.finish(tx, false)
+	_ = c.reportIfNotPrimary(tx, e)
 	if tx.beginUnconfirmed && c.isCommit() {
 		return e // the write may have run outside a transaction
 	}
