Mark the calls of the PostgreSQL contract, and refuse other answers

What callers saw: a read got the server's status row as its result (success). A write was acknowledged with the answer and the log position of the write before it.

Cause: answers of a PostgreSQL server are matched to requests by their order only. A server or middlebox that sends an answer twice shifts all later ones by one. The status query had the same text each time, so nothing told its answer from a copy. On the owner's monitor connections a copied status also passed as the answer to fence, promote, follow or evict: the number of columns was not tied to the call, and other results were ignored.

Evidence: new tests on the code before this commit. TestRepeatedAnswerIsRefused: status, fence, promote, follow and evict each returned no error for the copy of a status.

Change: each call carries a random mark, which comes back as the first column. An answer with another mark, not exactly one row or the wrong number of columns is an error, and the connection is closed. The first column has a name that no answer to a client may have, so a copied status in the place of a client's answer closes the connection as well. Counter backend_answer_misplaced, and a log line with server, connection, request and reason. The name of the primary in follow is quoted.

Why it works: a copy has the mark of its own call, and the mark of a call is new.

Cost: no message more.

--- a/internal/dbconn/dbconn.go
+++ b/internal/dbconn/dbconn.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -107,48 +109,96 @@
 // Close closes the connection without waiting for the backend server.
 func (c *Conn) Close() error { return c.pg.Conn().Close() }
 
-// StatusQuery is the text of the status query. It returns one row, which
-// ParseStatus decodes.
-const StatusQuery = "SELECT * FROM cranberryhinge.status()"
+// MarkColumn is the name of the first column of the answer to each call of the
+// contract. No answer to a client's statement has a column of this name.
+const MarkColumn = "cranberryhinge_exchange"
+
+// Mark identifies one call. Its answer repeats the mark, because answers are matched
+// to calls by their order only, and a server may send an answer more than once.
+type Mark uint64
+
+// NewMark returns a mark that no other call uses.
+func NewMark() Mark { return Mark(rand.Uint64() >> 1) }
+
+// Text returns the mark as it appears in a call and in its answer.
+func (m Mark) Text() string { return strconv.FormatUint(uint64(m), 10) }
+
+// ErrForeignAnswer is returned when an answer does not belong to the call. The call
+// may have run, and the connection cannot be used any more.
+var ErrForeignAnswer = errors.New("the answer belongs to another call")
+
+// StatusQuery returns the text of the status query with the mark. Its answer is one row,
+// which ParseStatus decodes.
+func StatusQuery(m Mark) string { return callText(m, "* FROM cranberryhinge.status()") }
+
+// callText returns a SELECT of the mark and of the expression.
+func callText(m Mark, expression string) string {
+	return "SELECT " + m.Text() + " AS " + MarkColumn + ", " + expression
+}
 
 // Status queries the status of the backend server.
-func (c *Conn) Status(ctx context.Context) (Status, error) { return c.queryStatus(ctx, StatusQuery) }
+func (c *Conn) Status(ctx context.Context) (Status, error) {
+	return c.queryStatus(ctx, "* FROM cranberryhinge.status()", statusColumns)
+}
 
 // Fence makes the backend server adopt the term and reject lower ones. It
 // returns the server's status.
 func (c *Conn) Fence(ctx context.Context, term uint64) (Status, error) {
-	return c.queryStatus(ctx, fmt.Sprintf("SELECT * FROM cranberryhinge.fence(%d)", term))
+	return c.queryStatus(ctx, fmt.Sprintf("* FROM cranberryhinge.fence(%d)", term), fenceColumns)
 }
 
 // Promote makes the backend server the primary of a term that it has adopted.
 func (c *Conn) Promote(ctx context.Context, term uint64) error {
-	return c.exec(ctx, fmt.Sprintf("SELECT cranberryhinge.promote(%d)", term))
+	return c.exec(ctx, fmt.Sprintf("cranberryhinge.promote(%d)", term))
 }
 
 // Follow makes the backend server replicate from the named primary in the term.
 func (c *Conn) Follow(ctx context.Context, term uint64, primary string) error {
-	return c.exec(ctx, fmt.Sprintf("SELECT cranberryhinge.follow(%d, '%s')", term, primary))
+	return c.exec(ctx, fmt.Sprintf("cranberryhinge.follow(%d, '%s')", term, strings.ReplaceAll(primary, "'", "''")))
 }
 
 // Evict closes the data connections of role epochs lower than epoch.
 func (c *Conn) Evict(ctx context.Context, epoch uint64) error {
-	return c.exec(ctx, fmt.Sprintf("SELECT cranberryhinge.evict(%d)", epoch))
+	return c.exec(ctx, fmt.Sprintf("cranberryhinge.evict(%d)", epoch))
 }
 
-func (c *Conn) exec(ctx context.Context, sql string) error {
-	_, err := c.pg.Exec(ctx, sql).ReadAll()
-	return errors.Wrap(err, sql)
+func (c *Conn) exec(ctx context.Context, expression string) error {
+	_, err := c.call(ctx, expression)
+	return err
 }
 
-func (c *Conn) queryStatus(ctx context.Context, sql string) (Status, error) {
-	results, err := c.pg.Exec(ctx, sql).ReadAll()
+// call selects the expression with a mark. It returns the row without the mark.
+func (c *Conn) call(ctx context.Context, expression string) ([][]byte, error) {
+	m := NewMark()
+	results, err := c.pg.Exec(ctx, callText(m, expression)).ReadAll()
 	if err != nil {
-		return Status{}, errors.Wrap(err, sql)
+		return nil, errors.Wrap(err, expression)
 	}
 	if len(results) != 1 || len(results[0].Rows) != 1 {
-		return Status{}, errors.Errorf("%s: expected one result with one row", sql)
+		return nil, errors.Wrapf(ErrForeignAnswer, "%s: not one result with one row", expression)
+	}
+	row, err := m.Strip(results[0].Rows[0])
+	return row, errors.Wrap(err, expression)
+}
+
+func (c *Conn) queryStatus(ctx context.Context, expression string, columns int) (Status, error) {
+	row, err := c.call(ctx, expression)
+	if err != nil {
+		return Status{}, err
+	}
+	if len(row) != columns {
+		return Status{}, errors.Errorf("%s: row has %d columns instead of %d", expression, len(row), columns)
+	}
+	return parseStatus(row)
+}
+
+// Strip returns the row without its first column. It returns ErrForeignAnswer if that
+// column does not hold the mark.
+func (m Mark) Strip(row [][]byte) ([][]byte, error) {
+	if len(row) == 0 || string(row[0]) != m.Text() {
+		return nil, ErrForeignAnswer
 	}
-	return ParseStatus(results[0].Rows[0])
+	return row[1:], nil
 }
 
 // Numbers of columns of a status row, without and with the received position.
@@ -157,13 +207,23 @@
 	fenceColumns  = 7
 )
 
-// ParseStatus decodes a status row of text values. The columns are server,
+// ParseStatus decodes the row of text values that answers StatusQuery with the mark.
+// It returns ErrForeignAnswer if the row has another mark.
+func ParseStatus(m Mark, row [][]byte) (Status, error) {
+	row, err := m.Strip(row)
+	if err != nil {
+		return Status{}, err
+	}
+	if len(row) != statusColumns {
+		return Status{}, errors.Errorf("status row has %d columns instead of %d", len(row), statusColumns)
+	}
+	return parseStatus(row)
+}
+
+// parseStatus decodes a status row of at least statusColumns columns: server,
 // term, role, position, held (MajorityPosition), connections and, in the answer
 // to Fence, received (ReceivedPosition).
-func ParseStatus(row [][]byte) (Status, error) {
-	if len(row) != statusColumns && len(row) != fenceColumns {
-		return Status{}, errors.Errorf("status row has %d columns, expected 6 or 7", len(row))
-	}
+func parseStatus(row [][]byte) (Status, error) {
 	s := Status{Server: string(row[0]), Role: Role(row[2])}
 	numbers := []struct {
 		column int
--- a/internal/dbconn/dbconn_test.go
+++ b/internal/dbconn/dbconn_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,3 +100,75 @@
 	assert.NilError(t, err)
 	assert.Equal(t, answer[0], byte('Z'))
 }
+
+// serveRepeatedAnswer accepts any login. It answers the first call and sends that answer
+// again before the answer to the second call.
+func serveRepeatedAnswer(conn net.Conn) {
+	defer conn.Close()
+	be := pgproto3.NewBackend(conn, conn)
+	if _, err := be.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	be.Send(&pgproto3.AuthenticationOk{})
+	be.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	var first []byte
+	for be.Flush() == nil {
+		m, err := be.Receive()
+		if err != nil {
+			return
+		}
+		q, ok := m.(*pgproto3.Query)
+		if !ok {
+			return
+		}
+		values := []string{"db", "7", "primary", "40", "40", "1"}
+		if strings.Contains(q.String, "fence") {
+			values = append(values, "40")
+		}
+		if w := strings.Fields(q.String); len(w) > 3 && w[2] == "AS" {
+			values = append([]string{w[1]}, values...)
+		}
+		row := &pgproto3.DataRow{}
+		for _, v := range values {
+			row.Values = append(row.Values, []byte(v))
+		}
+		var answer []byte
+		for _, m := range []pgproto3.BackendMessage{
+			&pgproto3.RowDescription{Fields: make([]pgproto3.FieldDescription, len(values))}, row,
+			&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'I'},
+		} {
+			answer, _ = m.Encode(answer)
+		}
+		if _, err := conn.Write(append(first, answer...)); err != nil {
+			return
+		}
+		first = answer
+	}
+}
+
+// Guards against taking the second copy of an earlier answer for the answer to a call: an
+// owner would believe that a server is fenced, promoted or at a position while it is not.
+func TestRepeatedAnswerIsRefused(t *testing.T) {
+	calls := map[string]func(context.Context, *Conn) error{
+		"status":  func(ctx context.Context, c *Conn) error { _, err := c.Status(ctx); return err },
+		"fence":   func(ctx context.Context, c *Conn) error { _, err := c.Fence(ctx, 8); return err },
+		"promote": func(ctx context.Context, c *Conn) error { return c.Promote(ctx, 8) },
+		"follow":  func(ctx context.Context, c *Conn) error { return c.Follow(ctx, 8, "other") },
+		"evict":   func(ctx context.Context, c *Conn) error { return c.Evict(ctx, 8) },
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			go serveRepeatedAnswer(far)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			dial := func(context.Context, string, string) (net.Conn, error) { return near, nil }
+			c, err := Dial(ctx, "192.0.2.1:5432", Credentials{User: "u", Database: "d", Dial: dial}, "test")
+			assert.NilError(t, err)
+			defer c.Close()
+			_, err = c.Status(ctx)
+			assert.NilError(t, err)
+			assert.ErrorContains(t, call(ctx, c), "belongs to another call")
+		})
+	}
+}
--- a/internal/dbconn/doc.go
+++ b/internal/dbconn/doc.go
@@ -2,7 +2,8 @@
 // credentials and calls the functions of the database contract: status, fence,
 // promote, follow and evict.
 //
-// Every call takes a context that bounds it and returns the backend server's
-// error wrapped with the statement. A Conn must not be used concurrently. See
-// docs/design.md, section 3.2.
+// Every call carries a Mark, which its answer repeats, so that another answer on
+// the connection is not taken for it. Every call takes a context that bounds it and
+// returns the backend server's error wrapped with the call. A Conn must not be used
+// concurrently. See docs/design.md, section 3.2.
 package dbconn
--- a/internal/home/bench_test.go
+++ b/internal/home/bench_test.go
@@ -12,7 +12,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
-	"github.com/cranberryhinge/cranberryhinge/internal/dbconn"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 )
@@ -30,12 +29,19 @@
 	if be.Flush() != nil {
 		return
 	}
-	answer := func(values ...string) []byte {
+	complete := func(tags ...string) (b []byte) {
+		for _, tag := range tags {
+			b, _ = (&pgproto3.CommandComplete{CommandTag: []byte(tag)}).Encode(b)
+		}
+		return b
+	}
+	ready, _ := (&pgproto3.ReadyForQuery{TxStatus: 'I'}).Encode(nil)
+	answer := func(before []byte, values ...string) []byte {
 		row := make([][]byte, len(values))
 		for i, v := range values {
 			row[i] = []byte(v)
 		}
-		var b []byte
+		b := bytes.Clone(before)
 		for _, m := range []pgproto3.BackendMessage{
 			&pgproto3.RowDescription{Fields: make([]pgproto3.FieldDescription, len(row))},
 			&pgproto3.DataRow{Values: row}, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: 'I'},
@@ -44,8 +50,22 @@
 		}
 		return b
 	}
-	status, other := answer("db", "1", "primary", "7", "7", "1"), answer("v")
-	statusText := []byte(dbconn.StatusQuery)
+	resetTags := complete("RESET", "CLOSE CURSOR ALL", "UNLISTEN", "DISCARD TEMP", "DISCARD SEQUENCES")
+	reset, set, other := answer(resetTags, ""), append(complete("SET"), ready...), answer(nil, "v")
+	answerTo := func(sql []byte) []byte {
+		switch {
+		case bytes.Contains(sql, []byte(" cranberryhinge.evict(")):
+			return answer(nil, string(bytes.Fields(sql)[1]), "")
+		case bytes.Contains(sql, []byte(" cranberryhinge.status()")):
+			return answer(nil, string(bytes.Fields(sql)[1]), "db", "1", "primary", "7", "7", "1")
+		case bytes.HasPrefix(sql, []byte(resetQuery)):
+			return reset
+		case bytes.HasPrefix(sql, []byte("SET ")):
+			return set
+		default:
+			return other
+		}
+	}
 	buf := make([]byte, 64<<10)
 	out := make([]byte, 0, 64<<10)
 	for have := 0; ; {
@@ -60,11 +80,7 @@
 			if have-at < size {
 				break
 			}
-			if bytes.HasPrefix(buf[at+headerSize:at+size], statusText) {
-				out = append(out, status...)
-			} else {
-				out = append(out, other...)
-			}
+			out = append(out, answerTo(buf[at+headerSize:at+size])...)
 			at += size
 		}
 		have = copy(buf, buf[at:have])
--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -78,6 +78,8 @@
 // its ReadyForQuery.
 type expectedAnswer struct {
 	kind answerKind
+	// mark is the mark of the status query, if the answer is one to it.
+	mark dbconn.Mark
 	// parsing lists the statements whose ParseComplete is not relayed to the
 	// entry host. parsed counts those received.
 	parsing []*peerpb.Prepared
--- a/internal/home/fake_test.go
+++ b/internal/home/fake_test.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"strconv"
@@ -44,6 +45,34 @@
 	statements     []string
 	applied        map[string]int
 	cancelledPIDs  []uint32
+	// repeats, if set, sends answers a second time.
+	repeats *repeats
+}
+
+// repeats makes one session send its answers to the messages that of selects again, one
+// after another, before the answer to a later message that before selects.
+type repeats struct {
+	of, before func(message string) bool
+	// sent is the number of copies that were sent.
+	sent int
+}
+
+// repeatInterval follows each repeated answer. It lets the home host react to it before the
+// next message arrives.
+const repeatInterval = 10 * time.Millisecond
+
+// messageSync stands for a Sync in repeats. The other messages are statements.
+const messageSync = "sync"
+
+// recorder records the answer to one message.
+type recorder struct {
+	net.Conn
+	answer []byte
+}
+
+func (r *recorder) Write(b []byte) (int, error) {
+	r.answer = append(r.answer, b...)
+	return r.Conn.Write(b)
 }
 
 type session struct {
@@ -58,6 +87,8 @@
 	prepared   map[string]string
 	boundQuery string
 	skipToSync bool
+	recorder   *recorder
+	recorded   [][]byte
 }
 
 func newFakeBackend(t testing.TB) *fakeBackend {
@@ -151,7 +182,8 @@
 
 func (b *fakeBackend) serve(nc net.Conn, pid uint32) {
 	defer func() { _ = nc.Close() }()
-	s := &session{srv: b, nc: nc, backend: pgproto3.NewBackend(nc, nc), pid: pid, txStatus: 'I', prepared: map[string]string{}}
+	rec := &recorder{Conn: nc}
+	s := &session{srv: b, nc: nc, recorder: rec, backend: pgproto3.NewBackend(nc, rec), pid: pid, txStatus: 'I', prepared: map[string]string{}}
 	start, err := s.backend.ReceiveStartupMessage()
 	if err != nil {
 		return
@@ -186,7 +218,7 @@
 	}
 	for {
 		m, err := s.backend.Receive()
-		if err != nil || !s.handle(m) {
+		if err != nil || !s.stutter(m) {
 			return
 		}
 	}
@@ -197,6 +229,35 @@
 	return v
 }
 
+// stutter handles a message and sends earlier answers again as repeats says.
+func (s *session) stutter(m pgproto3.FrontendMessage) bool {
+	message := ""
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		message = m.String
+	case *pgproto3.Sync:
+		message = messageSync
+	}
+	var copies [][]byte
+	s.srv.withLock(func() {
+		if r := s.srv.repeats; r != nil && r.sent == 0 && r.before(message) {
+			copies, r.sent = s.recorded, len(s.recorded)
+		}
+	})
+	for _, answer := range copies {
+		_, _ = s.nc.Write(answer)
+		time.Sleep(repeatInterval)
+	}
+	s.recorder.answer = s.recorder.answer[:0]
+	ok := s.handle(m)
+	s.srv.withLock(func() {
+		if r := s.srv.repeats; r != nil && r.sent == 0 && r.of(message) {
+			s.recorded = append(s.recorded, bytes.Clone(s.recorder.answer))
+		}
+	})
+	return ok
+}
+
 func (s *session) handle(m pgproto3.FrontendMessage) bool {
 	if s.isSilent() {
 		return true
@@ -258,12 +319,12 @@
 	}
 	word, rest, _ := strings.Cut(sql, " ")
 	switch {
-	case sql == dbconn.StatusQuery:
-		s.sendStatus()
-	case strings.HasPrefix(sql, "SELECT cranberryhinge.evict("):
-		epoch, _ := strconv.ParseUint(strings.Trim(sql[len("SELECT cranberryhinge.evict"):], "()"), 10, 64)
+	case isStatusQuery(sql):
+		s.sendStatus(sql)
+	case strings.Contains(sql, " cranberryhinge.evict("):
+		epoch, _ := strconv.ParseUint(strings.Trim(sql[strings.LastIndex(sql, "("):], "()"), 10, 64)
 		b.evictOlder(epoch)
-		s.sendRows("")
+		s.sendMarked(sql, "")
 	case word == "SELECT":
 		s.sendRows(rest)
 	case word == "INSERT":
@@ -323,21 +384,36 @@
 	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT " + strconv.Itoa(len(values)))})
 }
 
-func (s *session) sendStatus() {
+// isStatusQuery reports whether a statement is the status query.
+func isStatusQuery(sql string) bool { return strings.HasSuffix(sql, " cranberryhinge.status()") }
+
+// sendMarked answers a call of the contract with one row. The mark of the call, if it
+// has one, is the first column.
+func (s *session) sendMarked(sql string, row ...string) {
+	fields := make([]pgproto3.FieldDescription, len(row))
+	if w := strings.Fields(sql); len(w) > 3 && w[2] == "AS" {
+		row = append([]string{w[1]}, row...)
+		fields = append([]pgproto3.FieldDescription{{Name: []byte(strings.Trim(w[3], ","))}}, fields...)
+	}
+	values := make([][]byte, len(row))
+	for i, v := range row {
+		values[i] = []byte(v)
+	}
+	s.backend.Send(&pgproto3.RowDescription{Fields: fields})
+	s.backend.Send(&pgproto3.DataRow{Values: values})
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+}
+
+func (s *session) sendStatus(sql string) {
 	b := s.srv
-	var row [][]byte
+	var row []string
 	b.withLock(func() {
-		for _, v := range []string{
+		row = []string{
 			"db", strconv.FormatUint(b.term, 10), string(b.role), strconv.FormatUint(b.position, 10),
 			strconv.FormatUint(b.position, 10), strconv.Itoa(len(b.sessions)),
-		} {
-			row = append(row, []byte(v))
 		}
 	})
-	fields := make([]pgproto3.FieldDescription, len(row))
-	s.backend.Send(&pgproto3.RowDescription{Fields: fields})
-	s.backend.Send(&pgproto3.DataRow{Values: row})
-	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+	s.sendMarked(sql, row...)
 }
 
 // copyFrom reads copy data. Like a PostgreSQL server, it ignores Sync while it
--- a/internal/home/pool.go
+++ b/internal/home/pool.go
@@ -279,6 +279,11 @@
 	if errors.As(err, &fatal) && fatal.code == sqlStateAdminShutdown {
 		p.handleEviction()
 	}
+	if m := asMisplaced(err); m != nil {
+		p.h.opt.Counters.Add("backend_answer_misplaced", 1)
+		p.h.opt.Log.Warn().Str("server", p.name).Uint64("connection", uint64(c.id)).Uint64("request", m.requestID).
+			Str("reason", m.reason).Msg("backend connection closed after a misplaced answer")
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if id := c.resetFor.Load(); id != 0 {
--- a/internal/home/reader.go
+++ b/internal/home/reader.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"fmt"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -124,7 +125,7 @@
 		return false
 	}
 	switch kind {
-	case msgCommandComplete, msgEmptyQuery, msgPortalSuspended, msgError, msgReady, msgCopyInResponse:
+	case msgCommandComplete, msgEmptyQuery, msgPortalSuspended, msgError, msgReady, msgCopyInResponse, msgRowDescription:
 		return false
 	case msgParseComplete:
 		return r.answer.parsed >= len(r.answer.parsing)
@@ -155,6 +156,10 @@
 		return r.handleInternalAnswer(kind, body, size)
 	}
 	switch kind {
+	case msgRowDescription:
+		if isCallAnswer(body) {
+			return misplaced("the answer to a call of the contract follows a client's request")
+		}
 	case msgParseComplete:
 		r.answer.parsed++
 		return r.discard(size)
@@ -213,7 +218,7 @@
 	case msgNotice, msgParameterStatus, msgNotification:
 		return r.discard(size)
 	default:
-		return errors.Errorf("unsolicited backend message %q", kind)
+		return misplaced(fmt.Sprintf("unsolicited message %q", kind))
 	}
 }
 
@@ -225,7 +230,9 @@
 		if err != nil {
 			return err
 		}
-		if r.status, err = dbconn.ParseStatus(row); err != nil {
+		if r.status, err = dbconn.ParseStatus(r.answer.mark, row); errors.Is(err, dbconn.ErrForeignAnswer) {
+			return misplaced("the status has another mark")
+		} else if err != nil {
 			return err
 		}
 		r.statusRows++
@@ -282,7 +289,7 @@
 	switch a.kind {
 	case answerStatus, answerPosition:
 		if r.statusRows != 1 {
-			return errors.Errorf("status query returned %d rows instead of 1", r.statusRows)
+			return misplaced(fmt.Sprintf("status query returned %d rows instead of 1", r.statusRows))
 		}
 		switch {
 		case s == nil:
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -349,8 +349,9 @@
 	if err := r.authorize(); err != nil {
 		return err
 	}
-	r.prefix.bytes = readPrefixBytes
-	r.prefix.answers = []expectedAnswer{{kind: answerDiscard}, {kind: answerStatus}}
+	query, answer := statusQuery(answerStatus)
+	r.prefix.bytes = append(readOnlyBytes[:len(readOnlyBytes):len(readOnlyBytes)], query...)
+	r.prefix.answers = []expectedAnswer{{kind: answerDiscard}, answer}
 	if r.pool.lastStatusSatisfies(r) {
 		return nil
 	}
@@ -405,10 +406,15 @@
 	}
 }
 
-// readPrefixBytes is the encoded prefix of a read: read-only mode and the
-// status query. It is sent for every transaction, because the previous one may
-// have changed the setting.
-var readPrefixBytes = encode(encode(nil, &pgproto3.Query{String: readOnlyQuery}), &pgproto3.Query{String: dbconn.StatusQuery})
+// readOnlyBytes is the encoded query that starts the prefix of a read. It is sent for
+// every transaction, because the previous one may have changed the setting.
+var readOnlyBytes = encode(nil, &pgproto3.Query{String: readOnlyQuery})
+
+// statusQuery returns an encoded status query with a new mark, and its answer.
+func statusQuery(kind answerKind) ([]byte, expectedAnswer) {
+	m := dbconn.NewMark()
+	return encode(nil, &pgproto3.Query{String: dbconn.StatusQuery(m)}), expectedAnswer{kind: kind, mark: m}
+}
 
 // exchange sends the batch and returns the transaction status in the
 // ReadyForQuery message that ends its answer.
@@ -556,7 +562,8 @@
 	if status != txStatusIdle || !r.needsConfirmation() {
 		return nil, nil
 	}
-	if err := r.send(statusQueryBytes, []expectedAnswer{{kind: answerPosition}}); err != nil {
+	query, answer := statusQuery(answerPosition)
+	if err := r.send(query, []expectedAnswer{answer}); err != nil {
 		return nil, err
 	}
 	ev, err := r.awaitEvent(eventStatus)
@@ -577,8 +584,6 @@
 	return &peerpb.Token{Group: r.start.Group, Term: r.term, Position: s.Position}, nil
 }
 
-var statusQueryBytes = encode(nil, &pgproto3.Query{String: dbconn.StatusQuery})
-
 // unconfirmedError sets the verdict of an Authority error to MayHaveRun, and
 // its reason to authority_lost if it has no specific one.
 func unconfirmedError(err error) error {
--- a/internal/home/sink.go
+++ b/internal/home/sink.go
@@ -302,6 +302,9 @@
 
 // handleConnLost implements sink.
 func (r *runStream) handleConnLost(err error) {
+	if m := asMisplaced(err); m != nil {
+		m.requestID = r.start.RequestId
+	}
 	r.postEvent(event{kind: eventFailed, err: connectionError(err)})
 }
 
--- a/internal/standin/exec.go
+++ b/internal/standin/exec.go
@@ -400,6 +400,9 @@
 	case "evict":
 		row = []value{intValue(db.evict(numericArg, s))}
 	}
+	if st.mark != "" {
+		row = append([]value{textValue(st.mark)}, row...)
+	}
 	r.rows = [][]value{row}
 	return r, err
 }
--- a/internal/standin/sql.go
+++ b/internal/standin/sql.go
@@ -75,6 +75,8 @@
 	words []string
 	// binary is set for COPY in the binary format.
 	binary bool
+	// mark is the first value of each row of a contract call, empty for none.
+	mark string
 }
 
 func (s *statement) isData() bool { return s.kind >= kindGet && s.kind <= kindCopyOut }
@@ -231,6 +233,9 @@
 }
 
 var (
+	// markPattern matches the mark with which the proxy recognises the answer to a call
+	// of the contract.
+	markPattern     = regexp.MustCompile(`(?is)^(SELECT\s+)(\d+)\s+AS\s+(\w+)\s*,\s*((?:\*\s+FROM\s+)?cranberryhinge\..*)$`)
 	contractPattern = regexp.MustCompile(`(?is)^SELECT\s+(?:\*\s+FROM\s+)?cranberryhinge\.(\w+)\s*\(([^)]*)\)$`)
 	copyInPattern   = regexp.MustCompile(`(?is)^COPY\s+"?kv"?\s*(?:\(\s*"?key"?\s*,\s*"?value"?\s*\)\s*)?FROM\s+STDIN(.*)$`)
 	copyOutPattern  = regexp.MustCompile(`(?is)^COPY\s+"?kv"?\s*(?:\(\s*"?key"?\s*,\s*"?value"?\s*\)\s*)?TO\s+STDOUT$`)
@@ -297,6 +302,23 @@
 // parse parses one statement. The result is shared through the cache and must
 // not be modified.
 func parse(sql string) (*statement, *sqlError) {
+	if !strings.Contains(sql, "cranberryhinge.") {
+		return parseCached(sql)
+	}
+	if m := markPattern.FindStringSubmatch(trimStatement(sql)); m != nil {
+		call, err := parseCached(m[1] + m[4])
+		if err != nil {
+			return nil, err
+		}
+		marked := *call
+		marked.mark = m[2]
+		marked.columns = append([]column{{m[3], pgtype.Int8OID}}, call.columns...)
+		return &marked, nil
+	}
+	return parseCached(sql)
+}
+
+func parseCached(sql string) (*statement, *sqlError) {
 	if len(sql) > parseCacheBytes {
 		return parseUncached(sql)
 	}
