Check the whole answer to the home host's own requests

What callers saw: a write ended as a success without any command (no CommandComplete); a request failed with connection_lost although the fault was in the caller's before it.

Cause: the answers to the reset, the ping and "SET default_transaction_read_only" were read up to the next ReadyForQuery, whatever stood before it. A repeated answer of the previous caller ended them, and the connection went to the next caller one answer behind.

Change: each of these answers has one known sequence of messages and tags, and ends outside a transaction. Any other message closes the connection and is counted as backend_answer_misplaced. NoticeResponse, ParameterStatus and NotificationResponse may stand anywhere, as the protocol says.

Why it works: the sequences of adjacent requests differ (ping, SET, status, reset, and each of them from a batch), so a copy stands out before the connection is given on. The two status kinds are told apart by their marks.

The fake server of the tests now answers the reset query with the messages of a real one.

--- a/internal/home/fake_test.go
+++ b/internal/home/fake_test.go
@@ -325,6 +325,12 @@
 		epoch, _ := strconv.ParseUint(strings.Trim(sql[strings.LastIndex(sql, "("):], "()"), 10, 64)
 		b.evictOlder(epoch)
 		s.sendMarked(sql, "")
+	case sql == resetQuery:
+		s.readOnly = false
+		for _, tag := range []string{"RESET", "CLOSE CURSOR ALL", "UNLISTEN", "DISCARD TEMP", "DISCARD SEQUENCES"} {
+			s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+		}
+		s.sendRows("")
 	case word == "SELECT":
 		s.sendRows(rest)
 	case word == "INSERT":
@@ -360,7 +366,7 @@
 	case word == "COPY":
 		s.copyFrom()
 	default:
-		s.readOnly = sql == readOnlyQuery || (s.readOnly && sql != resetQuery)
+		s.readOnly = s.readOnly || sql == readOnlyQuery
 		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(word)})
 	}
 	return true
--- a/internal/home/misplaced.go
+++ b/internal/home/misplaced.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 
 	"github.com/pkg/errors"
 
@@ -40,3 +41,42 @@
 }
 
 var markColumnBytes = []byte(dbconn.MarkColumn + "\x00")
+
+// internalAnswers holds the answers to the requests of the home host itself: the type of
+// each message before ReadyForQuery, and after a CommandComplete its tag and a semicolon.
+// Messages that the server may send at any time are left out.
+var internalAnswers = map[answerKind]string{
+	answerDiscard:  "CSET;",
+	answerStatus:   "TDCSELECT 1;",
+	answerPosition: "TDCSELECT 1;",
+	answerPing:     "",
+	answerReset:    "CRESET;CCLOSE CURSOR ALL;CUNLISTEN;CDISCARD TEMP;CDISCARD SEQUENCES;TDCSELECT 1;",
+}
+
+// checkInternal records a message in the answer to a request of the home host itself. It
+// returns an error if the message cannot be part of that answer.
+func (r *reader) checkInternal(kind byte, body []byte) error {
+	r.internalSeen = append(r.internalSeen, kind)
+	if kind == msgCommandComplete {
+		r.internalSeen = append(append(r.internalSeen, bytes.TrimRight(body, "\x00")...), ';')
+	}
+	want := internalAnswers[r.answer.kind]
+	if len(r.internalSeen) > len(want) || string(r.internalSeen) != want[:len(r.internalSeen)] {
+		return misplaced(fmt.Sprintf("message %q in the answer to an internal request of kind %d", kind, r.answer.kind))
+	}
+	return nil
+}
+
+// checkInternalEnd checks the ReadyForQuery of the answer to a request of the home host
+// itself. All of them are sent outside a transaction.
+func (r *reader) checkInternalEnd(txStatus byte) error {
+	if len(r.internalSeen) != len(internalAnswers[r.answer.kind]) || txStatus != txStatusIdle {
+		return misplaced(fmt.Sprintf("early end of the answer to an internal request of kind %d", r.answer.kind))
+	}
+	return nil
+}
+
+// isAsynchronous reports whether the server may send messages of the type at any time.
+func isAsynchronous(kind byte) bool {
+	return kind == msgNotice || kind == msgParameterStatus || kind == msgNotification
+}
--- a/internal/home/reader.go
+++ b/internal/home/reader.go
@@ -30,8 +30,10 @@
 	sink     sink
 	// commandCompleted is set from the first completed command of the batch.
 	commandCompleted bool
-	status           dbconn.Status
-	statusRows       int
+	// internalSeen is the part of the answer to a request of the home host itself that was
+	// read, in the form of internalAnswers.
+	internalSeen []byte
+	status       dbconn.Status
 }
 
 func (r *reader) loop() error {
@@ -113,7 +115,7 @@
 // beginAnswer determines which expected answer the next message belongs to.
 func (r *reader) beginAnswer() {
 	r.answer, r.sink, r.inAnswer = r.c.currentAnswer()
-	r.commandCompleted, r.statusRows = false, 0
+	r.commandCompleted, r.internalSeen = false, r.internalSeen[:0]
 }
 
 // errNoStream is returned for an answer to a batch whose stream has ended.
@@ -214,17 +216,21 @@
 
 // handleUnsolicited handles a message that is not part of an answer.
 func (r *reader) handleUnsolicited(kind byte, size int) error {
-	switch kind {
-	case msgNotice, msgParameterStatus, msgNotification:
+	if isAsynchronous(kind) {
 		return r.discard(size)
-	default:
-		return misplaced(fmt.Sprintf("unsolicited message %q", kind))
 	}
+	return misplaced(fmt.Sprintf("unsolicited message %q", kind))
 }
 
 // handleInternalAnswer handles a message in the answer to an internal query of
 // the home host.
 func (r *reader) handleInternalAnswer(kind byte, body []byte, size int) error {
+	if isAsynchronous(kind) {
+		return r.discard(size)
+	}
+	if err := r.checkInternal(kind, body); err != nil {
+		return err
+	}
 	if kind == msgDataRow && (r.answer.kind == answerStatus || r.answer.kind == answerPosition) {
 		row, err := decodeRow(body)
 		if err != nil {
@@ -235,7 +241,6 @@
 		} else if err != nil {
 			return err
 		}
-		r.statusRows++
 	}
 	return r.discard(size)
 }
@@ -275,6 +280,11 @@
 		return err
 	}
 	a, s := r.answer, r.sink
+	if a.kind != answerBatch {
+		if err := r.checkInternalEnd(txStatus); err != nil {
+			return err
+		}
+	}
 	r.inAnswer = false
 	c := r.c
 	c.mu.Lock()
@@ -288,9 +298,6 @@
 	c.mu.Unlock()
 	switch a.kind {
 	case answerStatus, answerPosition:
-		if r.statusRows != 1 {
-			return misplaced(fmt.Sprintf("status query returned %d rows instead of 1", r.statusRows))
-		}
 		switch {
 		case s == nil:
 		case a.kind == answerStatus:
--- a/internal/home/repeated_test.go
+++ b/internal/home/repeated_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
@@ -76,3 +77,25 @@
 	assertOwnOrFailed(t, f.writer().query("INSERT b").result(), "INSERT 0 2")
 	assert.Equal(t, f.repeated(), 2)
 }
+
+// Guards against taking a repeated answer for the answer to the reset query: the next caller
+// would get the connection one answer behind, and its request would fail.
+func TestRepeatedAnswerEndsNoReset(t *testing.T) {
+	f := newStutteringFixture(t, statementIs("SELECT v1"), statementIs(resetQuery))
+	assertOwnOrFailed(t, f.reader(0, nil).query("SELECT v1").result(), "v1")
+	r := f.writer().query("INSERT b").result()
+	assert.Assert(t, r.ready != nil, "%v", r.failure)
+	assert.Equal(t, f.repeated(), 1)
+}
+
+// Guards against taking a repeated answer for the answer to a ping: a write would end with
+// the answer to the ping, as a success without a command.
+func TestRepeatedAnswerIsNoPong(t *testing.T) {
+	f := newStutteringFixture(t, statementIs("INSERT a"), func(m string) bool { return m == messageSync })
+	assert.Assert(t, f.writer().query("INSERT a").result().ready != nil)
+	time.Sleep(verifyAfter)
+	r := f.writer().query("INSERT b").result()
+	assert.Equal(t, f.repeated(), 1)
+	assert.Assert(t, r.ready == nil, "%q", r.backend)
+	f.srv.withLock(func() { assert.Equal(t, f.srv.applied["INSERT b"] > 0, r.failure.Verdict == failureMayHaveRun) })
+}
