Confirm that the error of a write is its own answer

What callers saw: a write that the server ran was answered with the error of an earlier write, as the verdict NotRun (25006, not the primary) or as a plain error such as 40001. A caller that repeats the write, as both allow, has it twice.

Cause: a success of a write is confirmed by the status query behind it, an error was not. A repeated error that reached the connection while the next write ran was taken for its answer.

Change: after an error that ends a write, or a transaction, the home host sends the marked status query before it passes the error on. If its answer doesn't come next, the connection is closed and the verdict is MayHaveRun. A status query that gets no answer makes the verdict MayHaveRun, too.

Why it works: the server answers in order. Behind a copy of the error stands the true answer of the write, which has no mark, and an older status has another mark.

Cost: one round trip for a failed write. Errors inside a transaction that stays open need none: it can only be rolled back.

--- a/internal/home/repeated_test.go
+++ b/internal/home/repeated_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cranberryhinge/cranberryhinge/internal/backend"
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
+	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
 
 // newStutteringFixture returns a fixture with one data connection, whose server
@@ -99,3 +100,33 @@
 	assert.Assert(t, r.ready == nil, "%q", r.backend)
 	f.srv.withLock(func() { assert.Equal(t, f.srv.applied["INSERT b"] > 0, r.failure.Verdict == failureMayHaveRun) })
 }
+
+// Guards against the error of an earlier write that a caller gets for a write that the server
+// ran: the caller repeats it, and it takes effect twice.
+func TestRepeatedErrorRefusesNoWrite(t *testing.T) {
+	errors := map[string]string{"not the primary": "25006", "retryable": "40001"}
+	for name, code := range errors {
+		t.Run(name, func(t *testing.T) {
+			f := newStutteringFixture(t, eitherOf(statementIs("INSERT refused"), isStatusQuery), statementIs("INSERT b"))
+			f.srv.withLock(func() {
+				f.srv.override = func(s *session, sql string) bool {
+					if sql != "INSERT refused" {
+						return false
+					}
+					s.sendError(code)
+					return true
+				}
+			})
+			r := f.writer().query("INSERT refused").result()
+			assert.Assert(t, r.types() == "E" || r.failure.GetVerdict() == failureNotRun)
+			r = f.writer().query("INSERT b").result()
+			assert.Assert(t, f.repeated() > 0)
+			assert.Equal(t, r.types(), "")
+			assertFailure(t, r, failureMayHaveRun, verdict.ConnectionLost)
+			assert.Assert(t, eventually(func() (ran bool) {
+				f.srv.withLock(func() { ran = f.srv.applied["INSERT b"] == 1 })
+				return ran
+			}))
+		})
+	}
+}
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -322,6 +322,9 @@
 	r.inTx, r.connDirty = status != txStatusIdle, false
 	r.setPhase(phaseIdle)
 	r.pool.releaseSlot(r)
+	if err := r.confirmFailure(wasIdle, status); err != nil {
+		return err
+	}
 	if err := r.withheldError(wasIdle, status); err != nil {
 		return err
 	}
@@ -562,16 +565,10 @@
 	if status != txStatusIdle || !r.needsConfirmation() {
 		return nil, nil
 	}
-	query, answer := statusQuery(answerPosition)
-	if err := r.send(query, []expectedAnswer{answer}); err != nil {
-		return nil, err
-	}
-	ev, err := r.awaitEvent(eventStatus)
+	s, err := r.queryPosition()
 	if err != nil {
 		return nil, err
 	}
-	r.connDirty = false
-	s := ev.status
 	if s.Role != dbconn.Primary || s.Term != r.term {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.AuthorityLost, "%s is %s of term %d, not primary of term %d", s.Server, s.Role, s.Term, r.term)
 	}
@@ -584,6 +581,32 @@
 	return &peerpb.Token{Group: r.start.Group, Term: r.term, Position: s.Position}, nil
 }
 
+// queryPosition sends a status query behind the batch and returns its answer. It fails if the
+// server has answered the batch more than once.
+func (r *runStream) queryPosition() (dbconn.Status, error) {
+	query, answer := statusQuery(answerPosition)
+	if err := r.send(query, []expectedAnswer{answer}); err != nil {
+		return dbconn.Status{}, err
+	}
+	ev, err := r.awaitEvent(eventStatus)
+	if err != nil {
+		return dbconn.Status{}, err
+	}
+	r.connDirty = false
+	return ev.status, nil
+}
+
+// confirmFailure checks that an error which ends a write or a transaction is the answer to
+// this batch. An error is a promise that nothing is kept, and the caller may repeat the
+// request after it.
+func (r *runStream) confirmFailure(wasIdle bool, status byte) error {
+	if status != txStatusIdle || !r.failedWithoutCommit(wasIdle) {
+		return nil
+	}
+	_, err := r.queryPosition()
+	return err
+}
+
 // unconfirmedError sets the verdict of an Authority error to MayHaveRun, and
 // its reason to authority_lost if it has no specific one.
 func unconfirmedError(err error) error {
--- a/internal/home/sink.go
+++ b/internal/home/sink.go
@@ -47,6 +47,8 @@
 	// mayHaveWritten is set when the batch of a read may have written and
 	// therefore has to be confirmed like a write.
 	mayHaveWritten bool
+	// failed is set when the server has answered the batch with an error.
+	failed bool
 	// withheldResponse is an error that is sent to the entry host as a verdict
 	// instead of being relayed.
 	withheldResponse *pgproto3.ErrorResponse
@@ -57,6 +59,7 @@
 	r.mu.Lock()
 	r.mayHoldEarly, r.heldChunks, r.heldBytes, r.answerSent, r.readConfirmed = false, nil, 0, false, false
 	r.completedCommands, r.completedRollbacks, r.withheldResponse, r.mayHaveWritten = 0, 0, nil, false
+	r.failed = false
 	r.mu.Unlock()
 }
 
@@ -83,6 +86,17 @@
 	return (r.isWrite() || r.mayHaveWritten) && r.completedCommands > r.completedRollbacks
 }
 
+// failedWithoutCommit reports whether the batch of a write, or the last one of a
+// transaction, was answered with an error and needs no confirmation of a commit.
+func (r *runStream) failedWithoutCommit(wasIdle bool) bool {
+	if r.needsConfirmation() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed && (r.isWrite() || !wasIdle)
+}
+
 // relay implements sink.
 func (r *runStream) relay(chunk []byte, commandCompleted bool) error {
 	r.mu.Lock()
@@ -263,6 +277,7 @@
 func (r *runStream) handleServerError(m *pgproto3.ErrorResponse) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.failed = true
 	if !r.isWrite() || r.inTx || r.answerSent || r.completedCommands > 0 || m.Code != sqlStateReadOnly {
 		return false
 	}
