Check the answer to a client's batch against the batch

What callers saw: "BEGIN" as the answer to an INSERT; ROLLBACK as the answer to a COMMIT that took effect; the rows of an earlier SELECT and the status I inside a transaction; a success without any result.

Cause: the home host relayed whatever stood before the next ReadyForQuery. A repeated answer that arrived while the next statement ran was delivered as that statement's.

Change: the home host counts the messages that it sends in a batch and those of the answer, and keeps the first word of each statement. At a CommandComplete the tag must fit the statement, at ReadyForQuery each Parse, Bind, Describe, Execute and Close has its answer (or an error), a Query has a result, and the transaction status follows from the one before and the commands. COMMIT is answered by ROLLBACK only in a failed transaction. Otherwise the connection is closed, the batch ends with MayHaveRun and backend_answer_misplaced counts. Statements that begin with another word, and those after the first of a Query, have no check of their tag.

Why it works, and where it ends: an answer of another form cannot be taken for this one. A copy of the same form cannot be told apart by it (a SELECT's answer for another SELECT in the same transaction or behind its own status query); the marked status query behind a write and the reset find it later, and no commit is acknowledged on it.

--- a/internal/home/conn.go
+++ b/internal/home/conn.go
@@ -102,8 +102,9 @@
 	// handleCommitPosition handles the answer to the status query after a
 	// commit.
 	handleCommitPosition(dbconn.Status)
-	// handleCommandTag handles the tag of a completed command.
-	handleCommandTag(tag []byte)
+	// handleCommandTag handles the tag of a completed command. index is the number of
+	// statements of the batch that ended before it. An error closes the connection.
+	handleCommandTag(tag []byte, index int) error
 	// handleServerError handles an error before it is relayed. It returns true
 	// if the error must be withheld from the entry host.
 	handleServerError(*pgproto3.ErrorResponse) (withhold bool)
@@ -112,8 +113,9 @@
 	handleCopyIn()
 	// handlePong handles the answer to a ping.
 	handlePong()
-	// handleReady handles the end of a batch's answer.
-	handleReady(txStatus byte)
+	// handleReady handles the end of a batch's answer, which had the given messages. An
+	// error closes the connection.
+	handleReady(txStatus byte, got *messageCounts) error
 	// handleConnLost is called once, when the connection becomes unusable.
 	handleConnLost(error)
 }
--- a/internal/home/reader.go
+++ b/internal/home/reader.go
@@ -30,6 +30,8 @@
 	sink     sink
 	// commandCompleted is set from the first completed command of the batch.
 	commandCompleted bool
+	// counts holds the messages of the answer to a batch.
+	counts messageCounts
 	// internalSeen is the part of the answer to a request of the home host itself that was
 	// read, in the form of internalAnswers.
 	internalSeen []byte
@@ -86,6 +88,7 @@
 			return errors.New("answer to a batch without a stream")
 		}
 		if r.isPassThrough(kind) {
+			r.counts.add(kind)
 			r.relayRemaining = size
 			continue
 		}
@@ -116,6 +119,9 @@
 func (r *reader) beginAnswer() {
 	r.answer, r.sink, r.inAnswer = r.c.currentAnswer()
 	r.commandCompleted, r.internalSeen = false, r.internalSeen[:0]
+	if r.answer.kind == answerBatch {
+		r.counts = messageCounts{}
+	}
 }
 
 // errNoStream is returned for an answer to a batch whose stream has ended.
@@ -145,6 +151,7 @@
 	if r.inAnswer && r.answer.kind == answerBatch && r.sink == nil {
 		return errNoStream
 	}
+	r.counts.add(kind)
 	if kind == msgError {
 		return r.inspectError(body, size)
 	}
@@ -181,7 +188,9 @@
 		}
 		tag := bytes.TrimRight(body, "\x00")
 		r.retireOnCommandTag(tag)
-		r.sink.handleCommandTag(tag)
+		if err := r.sink.handleCommandTag(tag, int(r.counts.completions())-1); err != nil {
+			return err
+		}
 	case msgEmptyQuery, msgPortalSuspended:
 		if err := r.relayBeforeCompletion(); err != nil {
 			return err
@@ -313,7 +322,7 @@
 		c.owner.handleResetDone(c)
 	case answerBatch:
 		c.statements.remove(a.parsing[a.parsed:])
-		s.handleReady(txStatus)
+		return s.handleReady(txStatus, &r.counts)
 	}
 	return nil
 }
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -82,6 +82,7 @@
 	conn               *conn
 	frontend           batchSplitter
 	requiredStatements []*peerpb.Prepared
+	words              statementWords
 	prefix             batchPrefix
 	deadline           time.Time
 	timer              *time.Timer
@@ -124,6 +125,8 @@
 	if timeout <= 0 {
 		timeout = config.DefaultDeadline.Std()
 	}
+	words := newStatementWords()
+	words.addPrepared(start.Prepared)
 	return &runStream{
 		home: h, pool: p, stream: s, start: start, timeout: timeout,
 		requests:           make(chan *peerpb.RunRequest, requestBufferLen),
@@ -132,6 +135,8 @@
 		events:             make(chan event, 4),
 		done:               make(chan struct{}),
 		requiredStatements: start.Prepared,
+		words:              words,
+		answerState:        answerState{txStatus: txStatusIdle},
 		deadline:           time.Now().Add(timeout),
 		timer:              time.NewTimer(timeout),
 		deadlineArmed:      true,
@@ -228,6 +233,7 @@
 func (r *runStream) addRequest(m *peerpb.RunRequest) {
 	if s := m.GetStart(); s != nil {
 		r.requiredStatements = append(r.requiredStatements, s.Prepared...)
+		r.words.addPrepared(s.Prepared)
 		return
 	}
 	r.frontend.add(m.GetFrontend())
@@ -484,6 +490,7 @@
 		return nil
 	}
 	r.allowEarlyHold(r.frontend.batchEnd != 0)
+	r.recordSent(out)
 	if !first {
 		return r.send(out, nil)
 	}
--- a/internal/home/sink.go
+++ b/internal/home/sink.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -49,6 +50,11 @@
 	mayHaveWritten bool
 	// failed is set when the server has answered the batch with an error.
 	failed bool
+	// shape holds the sent part of the batch, and tags the completed commands. txStatus is
+	// the transaction status before the batch.
+	shape    batchShape
+	tags     txTags
+	txStatus byte
 	// withheldResponse is an error that is sent to the entry host as a verdict
 	// instead of being relayed.
 	withheldResponse *pgproto3.ErrorResponse
@@ -59,7 +65,7 @@
 	r.mu.Lock()
 	r.mayHoldEarly, r.heldChunks, r.heldBytes, r.answerSent, r.readConfirmed = false, nil, 0, false, false
 	r.completedCommands, r.completedRollbacks, r.withheldResponse, r.mayHaveWritten = 0, 0, nil, false
-	r.failed = false
+	r.failed, r.shape, r.tags = false, batchShape{}, txTags{}
 	r.mu.Unlock()
 }
 
@@ -244,8 +250,13 @@
 }
 
 // handleCommandTag implements sink.
-func (r *runStream) handleCommandTag(tag []byte) {
+func (r *runStream) handleCommandTag(tag []byte, index int) error {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.shape.checkTag(tag, index, r.txStatus); err != nil {
+		return err
+	}
+	r.tags.add(tag)
 	r.completedCommands++
 	if string(tag) == "ROLLBACK" {
 		r.completedRollbacks++
@@ -253,7 +264,7 @@
 	if !r.isWrite() && commandMayWrite(tag, r.term != 0) {
 		r.mayHaveWritten = true
 	}
-	r.mu.Unlock()
+	return nil
 }
 
 // commandMayWrite reports whether a command of a read may have written. The
@@ -302,17 +313,42 @@
 func (r *runStream) handlePong() { r.postEvent(event{kind: eventPong}) }
 
 // handleReady implements sink.
-func (r *runStream) handleReady(txStatus byte) {
+func (r *runStream) handleReady(txStatus byte, got *messageCounts) error {
+	if err := r.checkAnswer(txStatus, got); err != nil {
+		return err
+	}
 	if !r.isWrite() {
 		r.mu.Lock()
 		err := r.confirmRead()
 		r.mu.Unlock()
 		if err != nil {
 			r.postEvent(event{kind: eventFailed, err: err})
-			return
+			return nil
 		}
 	}
 	r.postEvent(event{kind: eventReady, txStatus: txStatus})
+	return nil
+}
+
+// checkAnswer checks whether the messages and the transaction status can answer the batch.
+func (r *runStream) checkAnswer(txStatus byte, got *messageCounts) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.shape.checkEnd(got); err != nil {
+		return err
+	}
+	if !r.tags.canFollow(r.txStatus, txStatus, r.failed) {
+		return misplaced(fmt.Sprintf("transaction status %q after %q", txStatus, r.txStatus))
+	}
+	r.txStatus = txStatus
+	return nil
+}
+
+// recordSent records messages of the batch before they are sent.
+func (r *runStream) recordSent(messages []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shape.add(messages, r.words)
 }
 
 // handleConnLost implements sink.
