Let the benchmark's server answer pings as a PostgreSQL server does

The server of BenchmarkStatement answered Sync and Terminate with the rows of a SELECT. Since the answers are checked, its pings close the connection and the benchmark fails. It now answers a Sync with ReadyForQuery, and Terminate not at all.

--- a/internal/home/bench_test.go
+++ b/internal/home/bench_test.go
@@ -16,7 +16,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
 )
 
-// serveFixedAnswers answers every Query with fixed bytes, so that the benchmark
+// serveFixedAnswers answers every Query and Sync with fixed bytes, so that the benchmark
 // measures the home host and not the backend server.
 func serveFixedAnswers(nc net.Conn) {
 	defer func() { _ = nc.Close() }()
@@ -52,8 +52,12 @@
 	}
 	resetTags := complete("RESET", "CLOSE CURSOR ALL", "UNLISTEN", "DISCARD TEMP", "DISCARD SEQUENCES")
 	reset, set, other := answer(resetTags, ""), append(complete("SET"), ready...), answer(nil, "v")
-	answerTo := func(sql []byte) []byte {
+	answerTo := func(kind byte, sql []byte) []byte {
 		switch {
+		case kind == msgSync:
+			return ready
+		case kind != msgQuery:
+			return nil
 		case bytes.Contains(sql, []byte(" cranberryhinge.evict(")):
 			return answer(nil, string(bytes.Fields(sql)[1]), "")
 		case bytes.Contains(sql, []byte(" cranberryhinge.status()")):
@@ -80,7 +84,7 @@
 			if have-at < size {
 				break
 			}
-			out = append(out, answerTo(buf[at+headerSize:at+size])...)
+			out = append(out, answerTo(buf[at], buf[at+headerSize:at+size])...)
 			at += size
 		}
 		have = copy(buf, buf[at:have])
