--- a/internal/home/reader.go
+++ b/internal/home/reader.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"fmt"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -29,8 +30,12 @@
 	sink     sink
 	// commandCompleted is set from the first completed command of the batch.
 	commandCompleted bool
-	status           dbconn.Status
-	statusRows       int
+	// counts holds the messages of the answer to a batch.
+	counts messageCounts
+	// internalSeen is the part of the answer to a request of the home host itself that was
+	// read, in the form of internalAnswers.
+	internalSeen []byte
+	status       dbconn.Status
 }
 
 func (r *reader) loop() error {
@@ -83,6 +88,7 @@
 			return errors.New("answer to a batch without a stream")
 		}
 		if r.isPassThrough(kind) {
+			r.counts.add(kind)
 			r.relayRemaining = size
 			continue
 		}
@@ -112,7 +118,10 @@
 // beginAnswer determines which expected answer the next message belongs to.
 func (r *reader) beginAnswer() {
 	r.answer, r.sink, r.inAnswer = r.c.currentAnswer()
-	r.commandCompleted, r.statusRows = false, 0
+	r.commandCompleted, r.internalSeen = false, r.internalSeen[:0]
+	if r.answer.kind == answerBatch {
+		r.counts = messageCounts{}
+	}
 }
 
 // errNoStream is returned for an answer to a batch whose stream has ended.
@@ -124,7 +133,7 @@
 		return false
 	}
 	switch kind {
-	case msgCommandComplete, msgEmptyQuery, msgPortalSuspended, msgError, msgReady, msgCopyInResponse:
+	case msgCommandComplete, msgEmptyQuery, msgPortalSuspended, msgError, msgReady, msgCopyInResponse, msgRowDescription:
 		return false
 	case msgParseComplete:
 		return r.answer.parsed >= len(r.answer.parsing)
@@ -142,6 +151,7 @@
 	if r.inAnswer && r.answer.kind == answerBatch && r.sink == nil {
 		return errNoStream
 	}
+	r.counts.add(kind)
 	if kind == msgError {
 		return r.inspectError(body, size)
 	}
@@ -155,6 +165,10 @@
 		return r.handleInternalAnswer(kind, body, size)
 	}
 	switch kind {
+	case msgRowDescription:
+		if isCallAnswer(body) {
+			return misplaced("the answer to a call of the contract follows a client's request")
+		}
 	case msgParseComplete:
 		r.answer.parsed++
 		return r.discard(size)
@@ -174,7 +188,9 @@
 		}
 		tag := bytes.TrimRight(body, "\x00")
 		r.retireOnCommandTag(tag)
-		r.sink.handleCommandTag(tag)
+		if err := r.sink.handleCommandTag(tag, int(r.counts.completions())-1); err != nil {
+			return err
+		}
 	case msgEmptyQuery, msgPortalSuspended:
 		if err := r.relayBeforeCompletion(); err != nil {
 			return err
@@ -209,26 +225,31 @@
 
 // handleUnsolicited handles a message that is not part of an answer.
 func (r *reader) handleUnsolicited(kind byte, size int) error {
-	switch kind {
-	case msgNotice, msgParameterStatus, msgNotification:
+	if isAsynchronous(kind) {
 		return r.discard(size)
-	default:
-		return errors.Errorf("unsolicited backend message %q", kind)
 	}
+	return misplaced(fmt.Sprintf("unsolicited message %q", kind))
 }
 
 // handleInternalAnswer handles a message in the answer to an internal query of
 // the home host.
 func (r *reader) handleInternalAnswer(kind byte, body []byte, size int) error {
+	if isAsynchronous(kind) {
+		return r.discard(size)
+	}
+	if err := r.checkInternal(kind, body); err != nil {
+		return err
+	}
 	if kind == msgDataRow && (r.answer.kind == answerStatus || r.answer.kind == answerPosition) {
 		row, err := decodeRow(body)
 		if err != nil {
 			return err
 		}
-		if r.status, err = dbconn.ParseStatus(row); err != nil {
+		if r.status, err = dbconn.ParseStatus(r.answer.mark, row); errors.Is(err, dbconn.ErrForeignAnswer) {
+			return misplaced("the status has another mark")
+		} else if err != nil {
 			return err
 		}
-		r.statusRows++
 	}
 	return r.discard(size)
 }
@@ -268,6 +289,11 @@
 		return err
 	}
 	a, s := r.answer, r.sink
+	if a.kind != answerBatch {
+		if err := r.checkInternalEnd(txStatus); err != nil {
+			return err
+		}
+	}
 	r.inAnswer = false
 	c := r.c
 	c.mu.Lock()
@@ -281,9 +307,6 @@
 	c.mu.Unlock()
 	switch a.kind {
 	case answerStatus, answerPosition:
-		if r.statusRows != 1 {
-			return errors.Errorf("status query returned %d rows instead of 1", r.statusRows)
-		}
 		switch {
 		case s == nil:
 		case a.kind == answerStatus:
@@ -299,7 +322,7 @@
 		c.owner.handleResetDone(c)
 	case answerBatch:
 		c.statements.remove(a.parsing[a.parsed:])
-		s.handleReady(txStatus)
+		return s.handleReady(txStatus, &r.counts)
 	}
 	return nil
 }
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -82,6 +82,7 @@
 	conn               *conn
 	frontend           batchSplitter
 	requiredStatements []*peerpb.Prepared
+	words              statementWords
 	prefix             batchPrefix
 	deadline           time.Time
 	timer              *time.Timer
@@ -124,6 +125,8 @@
 	if timeout <= 0 {
 		timeout = config.DefaultDeadline.Std()
 	}
+	words := newStatementWords()
+	words.addPrepared(start.Prepared)
 	return &runStream{
 		home: h, pool: p, stream: s, start: start, timeout: timeout,
 		requests:           make(chan *peerpb.RunRequest, requestBufferLen),
@@ -132,6 +135,8 @@
 		events:             make(chan event, 4),
 		done:               make(chan struct{}),
 		requiredStatements: start.Prepared,
+		words:              words,
+		answerState:        answerState{txStatus: txStatusIdle},
 		deadline:           time.Now().Add(timeout),
 		timer:              time.NewTimer(timeout),
 		deadlineArmed:      true,
@@ -228,6 +233,7 @@
 func (r *runStream) addRequest(m *peerpb.RunRequest) {
 	if s := m.GetStart(); s != nil {
 		r.requiredStatements = append(r.requiredStatements, s.Prepared...)
+		r.words.addPrepared(s.Prepared)
 		return
 	}
 	r.frontend.add(m.GetFrontend())
@@ -322,6 +328,9 @@
 	r.inTx, r.connDirty = status != txStatusIdle, false
 	r.setPhase(phaseIdle)
 	r.pool.releaseSlot(r)
+	if err := r.confirmFailure(wasIdle, status); err != nil {
+		return err
+	}
 	if err := r.withheldError(wasIdle, status); err != nil {
 		return err
 	}
@@ -349,8 +358,9 @@
 	if err := r.authorize(); err != nil {
 		return err
 	}
-	r.prefix.bytes = readPrefixBytes
-	r.prefix.answers = []expectedAnswer{{kind: answerDiscard}, {kind: answerStatus}}
+	query, answer := statusQuery(answerStatus)
+	r.prefix.bytes = append(readOnlyBytes[:len(readOnlyBytes):len(readOnlyBytes)], query...)
+	r.prefix.answers = []expectedAnswer{{kind: answerDiscard}, answer}
 	if r.pool.lastStatusSatisfies(r) {
 		return nil
 	}
@@ -405,10 +415,15 @@
 	}
 }
 
-// readPrefixBytes is the encoded prefix of a read: read-only mode and the
-// status query. It is sent for every transaction, because the previous one may
-// have changed the setting.
-var readPrefixBytes = encode(encode(nil, &pgproto3.Query{String: readOnlyQuery}), &pgproto3.Query{String: dbconn.StatusQuery})
+// readOnlyBytes is the encoded query that starts the prefix of a read. It is sent for
+// every transaction, because the previous one may have changed the setting.
+var readOnlyBytes = encode(nil, &pgproto3.Query{String: readOnlyQuery})
+
+// statusQuery returns an encoded status query with a new mark, and its answer.
+func statusQuery(kind answerKind) ([]byte, expectedAnswer) {
+	m := dbconn.NewMark()
+	return encode(nil, &pgproto3.Query{String: dbconn.StatusQuery(m)}), expectedAnswer{kind: kind, mark: m}
+}
 
 // exchange sends the batch and returns the transaction status in the
 // ReadyForQuery message that ends its answer.
@@ -475,6 +490,7 @@
 		return nil
 	}
 	r.allowEarlyHold(r.frontend.batchEnd != 0)
+	r.recordSent(out)
 	if !first {
 		return r.send(out, nil)
 	}
@@ -556,15 +572,10 @@
 	if status != txStatusIdle || !r.needsConfirmation() {
 		return nil, nil
 	}
-	if err := r.send(statusQueryBytes, []expectedAnswer{{kind: answerPosition}}); err != nil {
-		return nil, err
-	}
-	ev, err := r.awaitEvent(eventStatus)
+	s, err := r.queryPosition()
 	if err != nil {
 		return nil, err
 	}
-	r.connDirty = false
-	s := ev.status
 	if s.Role != dbconn.Primary || s.Term != r.term {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.AuthorityLost, "%s is %s of term %d, not primary of term %d", s.Server, s.Role, s.Term, r.term)
 	}
@@ -577,7 +588,31 @@
 	return &peerpb.Token{Group: r.start.Group, Term: r.term, Position: s.Position}, nil
 }
 
-var statusQueryBytes = encode(nil, &pgproto3.Query{String: dbconn.StatusQuery})
+// queryPosition sends a status query behind the batch and returns its answer. It fails if the
+// server has answered the batch more than once.
+func (r *runStream) queryPosition() (dbconn.Status, error) {
+	query, answer := statusQuery(answerPosition)
+	if err := r.send(query, []expectedAnswer{answer}); err != nil {
+		return dbconn.Status{}, err
+	}
+	ev, err := r.awaitEvent(eventStatus)
+	if err != nil {
+		return dbconn.Status{}, err
+	}
+	r.connDirty = false
+	return ev.status, nil
+}
+
+// confirmFailure checks that an error which ends a write or a transaction is the answer to
+// this batch. An error is a promise that nothing is kept, and the caller may repeat the
+// request after it.
+func (r *runStream) confirmFailure(wasIdle bool, status byte) error {
+	if status != txStatusIdle || !r.failedWithoutCommit(wasIdle) {
+		return nil
+	}
+	_, err := r.queryPosition()
+	return err
+}
 
 // unconfirmedError sets the verdict of an Authority error to MayHaveRun, and
 // its reason to authority_lost if it has no specific one.
--- a/internal/home/sink.go
+++ b/internal/home/sink.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -47,6 +48,13 @@
 	// mayHaveWritten is set when the batch of a read may have written and
 	// therefore has to be confirmed like a write.
 	mayHaveWritten bool
+	// failed is set when the server has answered the batch with an error.
+	failed bool
+	// shape holds the sent part of the batch, and tags the completed commands. txStatus is
+	// the transaction status before the batch.
+	shape    batchShape
+	tags     txTags
+	txStatus byte
 	// withheldResponse is an error that is sent to the entry host as a verdict
 	// instead of being relayed.
 	withheldResponse *pgproto3.ErrorResponse
@@ -57,6 +65,7 @@
 	r.mu.Lock()
 	r.mayHoldEarly, r.heldChunks, r.heldBytes, r.answerSent, r.readConfirmed = false, nil, 0, false, false
 	r.completedCommands, r.completedRollbacks, r.withheldResponse, r.mayHaveWritten = 0, 0, nil, false
+	r.failed, r.shape, r.tags = false, batchShape{}, txTags{}
 	r.mu.Unlock()
 }
 
@@ -83,6 +92,17 @@
 	return (r.isWrite() || r.mayHaveWritten) && r.completedCommands > r.completedRollbacks
 }
 
+// failedWithoutCommit reports whether the batch of a write, or the last one of a
+// transaction, was answered with an error and needs no confirmation of a commit.
+func (r *runStream) failedWithoutCommit(wasIdle bool) bool {
+	if r.needsConfirmation() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed && (r.isWrite() || !wasIdle)
+}
+
 // relay implements sink.
 func (r *runStream) relay(chunk []byte, commandCompleted bool) error {
 	r.mu.Lock()
@@ -230,8 +250,13 @@
 }
 
 // handleCommandTag implements sink.
-func (r *runStream) handleCommandTag(tag []byte) {
+func (r *runStream) handleCommandTag(tag []byte, index int) error {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.shape.checkTag(tag, index, r.txStatus); err != nil {
+		return err
+	}
+	r.tags.add(tag)
 	r.completedCommands++
 	if string(tag) == "ROLLBACK" {
 		r.completedRollbacks++
@@ -239,7 +264,7 @@
 	if !r.isWrite() && commandMayWrite(tag, r.term != 0) {
 		r.mayHaveWritten = true
 	}
-	r.mu.Unlock()
+	return nil
 }
 
 // commandMayWrite reports whether a command of a read may have written. The
@@ -263,6 +288,7 @@
 func (r *runStream) handleServerError(m *pgproto3.ErrorResponse) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.failed = true
 	if !r.isWrite() || r.inTx || r.answerSent || r.completedCommands > 0 || m.Code != sqlStateReadOnly {
 		return false
 	}
@@ -287,21 +313,49 @@
 func (r *runStream) handlePong() { r.postEvent(event{kind: eventPong}) }
 
 // handleReady implements sink.
-func (r *runStream) handleReady(txStatus byte) {
+func (r *runStream) handleReady(txStatus byte, got *messageCounts) error {
+	if err := r.checkAnswer(txStatus, got); err != nil {
+		return err
+	}
 	if !r.isWrite() {
 		r.mu.Lock()
 		err := r.confirmRead()
 		r.mu.Unlock()
 		if err != nil {
 			r.postEvent(event{kind: eventFailed, err: err})
-			return
+			return nil
 		}
 	}
 	r.postEvent(event{kind: eventReady, txStatus: txStatus})
+	return nil
+}
+
+// checkAnswer checks whether the messages and the transaction status can answer the batch.
+func (r *runStream) checkAnswer(txStatus byte, got *messageCounts) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.shape.checkEnd(got); err != nil {
+		return err
+	}
+	if !r.tags.canFollow(r.txStatus, txStatus, r.failed) {
+		return misplaced(fmt.Sprintf("transaction status %q after %q", txStatus, r.txStatus))
+	}
+	r.txStatus = txStatus
+	return nil
+}
+
+// recordSent records messages of the batch before they are sent.
+func (r *runStream) recordSent(messages []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shape.add(messages, r.words)
 }
 
 // handleConnLost implements sink.
 func (r *runStream) handleConnLost(err error) {
+	if m := asMisplaced(err); m != nil {
+		m.requestID = r.start.RequestId
+	}
 	r.postEvent(event{kind: eventFailed, err: connectionError(err)})
 }
 
