--- a/internal/correlation/tracker.go
+++ b/internal/correlation/tracker.go
@@ -84,9 +84,11 @@
 // complete is set if the answer had a success or error message before the state.
 func (t *Tracker) Check(kind statement.Kind, r statement.Result, complete bool) Finding {
 	f := t.decide(kind, r, complete)
+	// Outside a transaction, of the unsigned statements only BEGIN can fail.
+	mayHaveFailed := f.Reason == RepeatedSuccess && (t.state != statement.Idle || isBegin(kind))
 	if f.Decision == Accept {
 		t.record(kind, r)
-		t.unconfirmed = t.unconfirmed && r.Signature == "" || f.Reason == RepeatedSuccess
+		t.unconfirmed = t.unconfirmed && r.Signature == "" || mayHaveFailed
 		t.reportsUnconfirmed = t.reportsUnconfirmed || f.Reason == RepeatedStatus
 	}
 	return f
