Read a request that has arrived before a stop ends its session

What callers saw: in a planned stop of a host that was held up for a moment, a request got no answer. It had arrived before the session was closed, and its caller waited for as long as the host was held up.

Cause: an interrupt or a deadline makes a Go read fail although the kernel has bytes for it. A session that was interrupted by the stop took this for idle and closed the connection with the request unread. Likewise, a session looked only into its own buffer for another request before it ended after an answer.

Change: after a timeout, Next takes what the kernel has received, and reports the timeout only if there is nothing. Pending looks there too, at a stop only.

--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -110,7 +110,7 @@
 			s.handleInputError(err)
 			return
 		}
-		if s.tx == nil && !s.client.Pending() && s.f.isClosing() {
+		if s.tx == nil && s.f.isClosing() && !s.client.Pending() {
 			s.f.opt.Counters.Add("sessions_closed_by_stop", 1)
 			return
 		}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -182,10 +182,10 @@
 	// Pending reports whether bytes of another statement have been received.
 	Pending() bool
 	// SetDeadline sets the time at which Next returns an error that IsTimeout
-	// recognises; the zero time means no timeout.
+	// recognises, unless a statement has been received; the zero time means no timeout.
 	SetDeadline(t time.Time)
-	// Interrupt makes a blocked Next return an error that IsTimeout recognises. It may
-	// be called from another goroutine.
+	// Interrupt makes a blocked Next return an error that IsTimeout recognises, unless a
+	// statement has been received. It may be called from another goroutine.
 	Interrupt()
 	Close()
 }
