Make the era of the store part of every revision

A write that expects a reused version succeeds on another row, a feed after it skips changes, and an answer that was overtaken brings back rows that are gone. Change: a store.Revision holds the era above the version. A Follower starts a new era with all rows, keeps what it has until then, and takes neither rows nor confirmations of an earlier era from responses and peers.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -67,8 +67,10 @@
 
 // Adapters are the implementations that a platform provides.
 type Adapters struct {
-	Table     store.TableService
-	Watcher   store.Watcher
+	Table   store.TableService
+	Watcher store.Watcher
+	// Eras, if set, tracks the eras of the store.
+	Eras      *store.EraTracker
 	Sources   catalog.Sources
 	Dialer    statement.Dialer
 	NewClient func(net.Conn, *budget.Lease) statement.Client
@@ -162,6 +164,9 @@
 		self.SpareCapacity = h.settings.spareCapacity()
 	}
 	latencies := telemetry.NewLatencies(h.counters)
+	if a.Eras != nil {
+		a.Eras.SetReporter(h.log, h.counters)
+	}
 	limits := h.settings.ClientLimits.WithDefaults()
 	h.budget = budget.New(h.memoryBytes(), h.clock, h.log, h.counters)
 	for i, maxConns := range map[int]int{readyListener: limits.HTTPConnections, metricsListener: limits.HTTPConnections, peerListener: limits.PeerConnections} {
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -97,6 +97,10 @@
 	// Every change made before the time confirmed has been passed to this or an
 	// earlier call. Calls are never concurrent.
 	Apply func(rows []Change, full bool, confirmed time.Duration)
+	// NewEra, if set, is called before the call of Apply with the first rows of an era,
+	// which are all rows of the space. Rows that are missing in it were not removed; they
+	// may be written again. Calls are never concurrent with those of Apply.
+	NewEra func(e Era)
 
 	mu       sync.Mutex
 	revision Revision
@@ -236,6 +240,9 @@
 		c, err = f.Watcher.Watch(ctx, f.Space, after, wait)
 	}
 	f.Log.Debug().Str("space", f.Space).Dur("wait", wait).Dur("took", f.Clock()-sent).Int("rows", len(c.Rows)).Err(err).Msg("store read")
+	if err == nil && !full && c.Revision.Era() != after.Era() {
+		err = ErrHistoryLost // versions of one era say nothing about those of another one
+	}
 	if err != nil {
 		return false, f.processFailure(ctx, err, sent)
 	}
@@ -253,7 +260,8 @@
 	defer f.mu.Unlock()
 	f.logAvailability(ctx, err, sent)
 	if errors.Is(err, ErrHistoryLost) {
-		f.Log.Info().Str("space", f.Space).Uint64("revision", uint64(f.revision)).Msg("store history lost, reading the whole space")
+		f.Log.Info().Str("space", f.Space).Uint64("era", uint64(f.revision.Era())).Uint64("revision", f.revision.Version()).
+			Msg("store history lost, reading the whole space")
 		f.historyAvailable = false
 		return nil
 	}
@@ -276,7 +284,7 @@
 func (f *Follower) confirmUpTo(rev Revision, at time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.historyAvailable && f.revision >= rev && at > f.confirmedAt {
+	if f.historyAvailable && f.revision >= rev && f.revision.Era() == rev.Era() && at > f.confirmedAt {
 		f.applyConfirmed(nil, false, at)
 	}
 }
@@ -286,6 +294,10 @@
 // time up to which the response contains every change, and whether there were new ones.
 // The caller holds the lock.
 func (f *Follower) applyResponse(c Changes, full bool, sent time.Duration) (confirmed time.Duration, changed bool) {
+	if f.initialized && c.Revision.Era() < f.revision.Era() {
+		return f.confirmedAt, false // the response of a concurrent call was of a later era
+	}
+	f.enterEra(c.Revision.Era())
 	confirmed = f.storeClock.EarliestLocal(sent, f.Clock(), c.Stamp)
 	if full && c.Revision < f.revision {
 		return confirmed, false // the response of a concurrent call was later and is already applied
@@ -293,11 +305,24 @@
 	return confirmed, f.applyChanges(c.Rows, full, c.Revision, confirmed)
 }
 
+// enterEra prepares for the first rows of an era. The store's clock may be another one
+// from then on. The caller holds the lock.
+func (f *Follower) enterEra(e Era) {
+	if f.initialized && e <= f.revision.Era() {
+		return
+	}
+	f.storeClock = clock.RemoteClock{}
+	if f.NewEra != nil {
+		f.NewEra(e)
+	}
+}
+
 // applyChanges applies changes up to a revision that is not older than this host's.
 // It reports whether there were new ones. The caller holds the lock.
 func (f *Follower) applyChanges(rows []Change, full bool, revision Revision, confirmed time.Duration) (changed bool) {
 	if full {
-		f.rows, f.digest = newRowCache(revision), 0
+		// Without the era, two spaces without rows would look the same in all eras.
+		f.rows, f.digest = newRowCache(revision), eraDigest(revision.Era())
 	} else {
 		rows = f.newRows(rows)
 	}
@@ -340,6 +365,14 @@
 	return xxhash.Sum64String(key + "\x00" + strconv.FormatUint(uint64(rev), 10))
 }
 
+// eraDigest returns the digest of a space without rows.
+func eraDigest(e Era) uint64 {
+	if e == 0 {
+		return 0
+	}
+	return rowDigest("", NewRevision(e, 0))
+}
+
 // applyConfirmed applies rows and advances the confirmation.
 func (f *Follower) applyConfirmed(rows []Change, full bool, at time.Duration) {
 	f.confirmedAt = max(f.confirmedAt, at)
@@ -379,7 +412,7 @@
 		if f.skipped.IsNew(r.Key, r.Revision) {
 			key, reason := r.LogFields()
 			f.Counters.Add("rows_undecoded", 1)
-			f.Log.Warn().Str("space", f.Space).Str("key", key).Uint64("revision", uint64(r.Revision)).Str("error", reason).Msg("row skipped")
+			f.Log.Warn().Str("space", f.Space).Str("key", key).Uint64("revision", r.Revision.Version()).Str("error", reason).Msg("row skipped")
 		}
 	}
 }
@@ -396,5 +429,5 @@
 		f.Log.Warn().Str("space", f.Space).Err(err).Dur("after", f.Clock()-sent).Msg("store lost")
 		return
 	}
-	f.Log.Info().Str("space", f.Space).Uint64("revision", uint64(f.revision)).Msg("store regained")
+	f.Log.Info().Str("space", f.Space).Uint64("era", uint64(f.revision.Era())).Uint64("revision", f.revision.Version()).Msg("store regained")
 }
--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -34,6 +34,15 @@
 	clock      func() time.Duration
 }
 
+// restore makes the store come back in the next era without any row. Versions are given
+// out again.
+func (s *fakeWatcher) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.rows)
+	s.history, s.revision = nil, NewRevision(s.revision.Era()+1, 0)
+}
+
 func (s *fakeWatcher) put(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/store/peerchanges.go
+++ b/internal/store/peerchanges.go
@@ -121,5 +121,9 @@
 	if !c.Full && (!f.initialized || since > f.revision) {
 		return // the changes up to since are missing
 	}
+	if !c.Full && c.Revision.Era() != f.revision.Era() {
+		return // an era begins with all rows
+	}
+	f.enterEra(c.Revision.Era())
 	f.applyChanges(c.Rows, c.Full, c.Revision, sentAt-clock.AddDriftMargin(c.Age))
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,8 +18,9 @@
 	"github.com/pkg/errors"
 )
 
-// Revision orders the changes of all rows. Revision 0 stands for a row that
-// does not exist.
+// Revision orders the changes of all rows. It consists of the era and the store's
+// version. Version 0 stands for a row that does not exist, in any era; Revision 0 is that
+// of no known era.
 type Revision uint64
 
 // Row is one row of the table service.
@@ -38,7 +39,7 @@
 
 // TableService is the platform's transactional table service.
 type TableService interface {
-	// Get returns the row, with Revision 0 when it does not exist.
+	// Get returns the row, with version 0 of the present era when it does not exist.
 	Get(ctx context.Context, key string) (Row, error)
 	// Scan returns the existing rows with the prefix that changed after the
 	// revision.
--- a/internal/usage/results.go
+++ b/internal/usage/results.go
@@ -10,7 +10,7 @@
 
 // RowRead is the result of ReadRow.
 type RowRead struct {
-	// Value is the row's value, Revision its revision, 0 if there is no row.
+	// Value is the row's value, Revision its revision, with version 0 if there is no row.
 	Value    []byte
 	Revision store.Revision
 	// Stamp is the store's clock when it answered. The call was sent and its answer
@@ -34,7 +34,7 @@
 	if !decoded {
 		record = Record{}
 	}
-	if !decoded && r.Revision != 0 {
+	if !decoded && r.Revision.Version() != 0 {
 		m.decide(Decision{Kind: RecordUnusable})
 	}
 	if record.Next != 0 && record.Window != m.settings.Window {
--- a/internal/usage/shell.go
+++ b/internal/usage/shell.go
@@ -158,7 +158,7 @@
 	s.opt.Counters.Add("store_reads", 1)
 	r := RowRead{Sent: s.opt.Clock()}
 	c, err := s.opt.Watcher.ReadAll(callCtx, space)
-	r.Received, r.Stamp = s.opt.Clock(), c.Stamp
+	r.Received, r.Stamp, r.Revision = s.opt.Clock(), c.Stamp, store.NewRevision(c.Revision.Era(), 0)
 	for _, row := range c.Rows {
 		if row.Key == recordKey {
 			r.Value, r.Revision = row.Value, row.Revision
