Keep one holder a role and each epoch once when the store comes back older

Rows are marked with the era of their writer; a holder that could use its role when it first reads the new era goes on; everybody else waits LeaseTTL; the end of a takeover wait counts once the row says so; epochs are above the revision that their write expects, era included. Grant ids contain the era. A store that names no era is treated as before. One log line an era change, with the roles kept and given up. No additional store calls while the era stays the same; one write a held role after a change.

--- a/internal/limit/minters.go
+++ b/internal/limit/minters.go
@@ -8,6 +8,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/config"
 	"github.com/cranberryhinge/cranberryhinge/internal/customer"
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // Fleet provides roles and configuration.
@@ -26,10 +27,21 @@
 	Document() *config.Document
 }
 
-// epochShift is the bit position of the role epoch in a grant id. It keeps the grant
-// ids of successive holders distinct, so that a settlement for a predecessor never
-// ends a grant of its successor.
-const epochShift = 40
+// Bit positions in a grant id: that of the low bits of the role epoch, and that of the low
+// bits of the store era, which is the upper part of the epoch. They keep the grant ids of
+// successive holders distinct, so that a settlement for a predecessor never ends a grant of
+// its successor.
+const (
+	epochShift = 40
+	eraShift   = 56
+	epochMask  = 1<<(eraShift-epochShift) - 1
+)
+
+// firstGrant returns the first grant id of the minters of a role in an epoch.
+func firstGrant(epoch uint64) customer.GrantID {
+	era := uint64(store.Revision(epoch).Era())
+	return customer.GrantID(era<<eraShift|(epoch&epochMask)<<epochShift) + 1
+}
 
 // roleMinters holds the minters of one role in one epoch.
 type roleMinters struct {
@@ -120,7 +132,7 @@
 	share := customer.Limit{Rate: l.Rate, Burst: l.Burst}.Share(len(doc.Inventory.Zones))
 	minter, ok := r.byCustomer[name]
 	if !ok {
-		minter = customer.NewMinter(share, r.startedAt, customer.GrantID(r.epoch<<epochShift)+1)
+		minter = customer.NewMinter(share, r.startedAt, firstGrant(r.epoch))
 		r.byCustomer[name] = minter
 		r.shares[name] = share
 	}
--- a/internal/ownership/claims.go
+++ b/internal/ownership/claims.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"slices"
 	"time"
+
+	"github.com/cranberryhinge/cranberryhinge/internal/store"
 )
 
 // Tick returns the writes to send now.
@@ -57,7 +59,7 @@
 	if m.leaving || ok && r.Host == m.self && !m.overwritten(key) {
 		return Write{}, false
 	}
-	w := Write{Key: key, Value: encode(m.self), Reason: "register"}
+	w := Write{Key: key, Expect: store.NewRevision(m.eras.era, 0), Value: encode(m.self), Reason: "register"}
 	if ok {
 		w.Expect = r.revision
 	}
@@ -79,6 +81,9 @@
 // roleWrite returns the write, if any, that a wanted role needs now.
 func (m *Machine) roleWrite(now time.Duration, name string) (Write, bool) {
 	r, ok := m.roles[name]
+	if w, needed := m.keptRoleWrite(now, name, r); needed {
+		return w, true
+	}
 	if ok && m.namesSelf(r) {
 		delete(m.vacantSince, name)
 		return m.heldRoleWrite(now, name, r)
@@ -100,10 +105,10 @@
 // process: it hands over the role, takes it back after a release, starts a new
 // epoch, or records that the takeover wait has passed.
 func (m *Machine) heldRoleWrite(now time.Duration, name string, r *roleRow) (Write, bool) {
-	next := Role{Holder: m.self.Name, Incarnation: m.self.Incarnation, Address: m.self.Address, Epoch: r.Epoch + 1, NoTakeoverWait: true}
+	next := Role{Holder: m.self.Name, Incarnation: m.self.Incarnation, Address: m.self.Address, Epoch: m.nextEpoch(name, r), NoTakeoverWait: true}
 	if m.leaving {
 		ranked := m.Rank(now, name, m.wantedRoles[name].Zone)
-		if len(ranked) == 0 || !r.takeoverWaitOver(now) {
+		if len(ranked) == 0 || !m.takeoverWaitOver(now, r) {
 			return Write{}, false
 		}
 		// The role is not used here from now on, whether or not the write
@@ -113,7 +118,7 @@
 		return m.newRoleWrite(name, r, next, "cede to "+next.Holder), true
 	}
 	switch {
-	case !r.takeoverWaitOver(now):
+	case !m.takeoverWaitOver(now, r):
 		return Write{}, false
 	case m.releasedEpochs[name] >= r.Epoch && now-m.confirmedAt < maxFreshAge:
 		return m.newRoleWrite(name, r, next, "take back"), true
@@ -123,6 +128,9 @@
 		return m.newRoleWrite(name, r, next, "new epoch"), true
 	case m.overwritten(m.roleKey(name)):
 		return m.newRoleWrite(name, r, next, "row was overwritten"), true
+	case !m.isOfThisEra(r):
+		// Another host may have used a later epoch meanwhile.
+		return m.newRoleWrite(name, r, next, "the row is of an earlier store era"), true
 	case !r.NoTakeoverWait:
 		// The epoch stays the same. Hosts that read the row from now on see
 		// that no further wait is needed.
@@ -146,24 +154,27 @@
 // may not. noTakeoverWait is true if no previous holder can still be using the
 // role, so that the takeover wait can be skipped.
 func (m *Machine) vacancy(now time.Duration, r *roleRow) (reason string, noTakeoverWait bool) {
+	if r == nil && !m.vacantRowsSettled(now) {
+		return "", false
+	}
 	if r == nil {
 		return "vacant", true
 	}
 	h, listed := m.hosts[r.Holder]
 	switch {
 	case r.Holder == m.self.Name:
-		return "own role of an earlier process", m.self.Address == r.Address && r.takeoverWaitOver(now)
+		return "own role of an earlier process", m.self.Address == r.Address && m.takeoverWaitOver(now, r)
 	case !listed:
-		return "holder has left", r.takeoverWaitOver(now)
+		return "holder has left", m.takeoverWaitOver(now, r)
 	case h.Incarnation != r.Incarnation:
 		// The new process can only listen on the address of the old one after
 		// the old one has ended. At a different address the old process may
 		// still run.
-		return "holder has restarted", h.Address == r.Address && r.takeoverWaitOver(now)
+		return "holder has restarted", h.Address == r.Address && m.takeoverWaitOver(now, r)
 	case !m.isAlive(now, h.Host):
 		return holderSilent, false
 	case m.hasReleased(h.Host, r):
-		return "holder has released it", r.takeoverWaitOver(now)
+		return "holder has released it", m.takeoverWaitOver(now, r)
 	}
 	return "", false
 }
@@ -187,24 +198,17 @@
 		return Write{}, false
 	}
 	next := Role{
-		Holder: m.self.Name, Incarnation: m.self.Incarnation, Address: m.self.Address, Epoch: 1,
+		Holder: m.self.Name, Incarnation: m.self.Incarnation, Address: m.self.Address, Epoch: m.nextEpoch(name, r),
 		// The row that was overwritten may have named a holder that this host does not know.
 		NoTakeoverWait: noTakeoverWait && !m.overwritten(m.roleKey(name)),
 	}
-	if r != nil {
-		next.Epoch = r.Epoch + 1
-	}
 	m.recordPredecessorEnd(name, r, next)
 	return m.newRoleWrite(name, r, next, reason), true
 }
 
 func (m *Machine) newRoleWrite(name string, r *roleRow, next Role, reason string) Write {
-	w := Write{Key: m.roleKey(name), Value: encode(next), Reason: reason}
-	if r != nil {
-		w.Expect = r.revision
-	}
-	w.Expect = m.expect(w.Key, w.Expect)
-	return w
+	next.Era = m.eras.era
+	return Write{Key: m.roleKey(name), Expect: m.expectedRole(name, r), Value: encode(next), Reason: reason}
 }
 
 func encode(v any) []byte {
--- a/internal/ownership/machine.go
+++ b/internal/ownership/machine.go
@@ -84,6 +84,8 @@
 	// NoTakeoverWait is true if no takeover wait applies: the previous holder had
 	// stopped using the role when the row was written.
 	NoTakeoverWait bool `json:"immediate"`
+	// Era is the era of the store in which the row was written, as its writer knew it.
+	Era store.Era `json:"era,omitempty"`
 }
 
 // Heartbeat is the newest heartbeat of a host. Counter grows from one heartbeat to
@@ -179,6 +181,7 @@
 	exchangeRound int
 	// lastRelayExchangeAt is when an exchange with a relay was last completed.
 	lastRelayExchangeAt time.Duration
+	eras                eraState
 	// registered is set once this process has read its own host row. replaced
 	// is set once another process has registered under the same name after
 	// that.
@@ -209,8 +212,7 @@
 	return r.Holder == m.self.Name && r.Incarnation == m.self.Incarnation
 }
 
-// takeoverWaitOver reports whether the takeover wait, if there was one, has
-// passed, so that the holder in the row may use the role.
+// takeoverWaitOver is Machine.takeoverWaitOver for a row that was written in this era.
 func (r *roleRow) takeoverWaitOver(now time.Duration) bool {
 	return r.NoTakeoverWait || now >= r.firstSeenAt+clock.AddDriftMargin(LeaseTTL) || !guard.Enabled(guard.Takeover)
 }
@@ -230,7 +232,7 @@
 // UsableEpoch returns the epoch of a role that this host may use now.
 func (m *Machine) UsableEpoch(now time.Duration, role string) (epoch uint64, ok bool) {
 	epoch, ok = m.AssignedEpoch(now, role)
-	if !ok || !m.roles[role].takeoverWaitOver(now) {
+	if !ok || !m.mayUse(now, m.roles[role]) {
 		return 0, false
 	}
 	return epoch, true
@@ -240,7 +242,7 @@
 // host may still have to wait before it may use the role.
 func (m *Machine) AssignedEpoch(now time.Duration, role string) (epoch uint64, ok bool) {
 	r, exists := m.roles[role]
-	if !exists || !m.namesSelf(r) || m.releasedEpochs[role] >= r.Epoch || now >= m.LeaseUntil() {
+	if !exists || !m.namesSelf(r) || m.releasedEpochs[role] >= r.Epoch || now >= m.LeaseUntil() || !m.isOfThisEra(r) && !m.keepsRow(r) {
 		return 0, false
 	}
 	return r.Epoch, true
--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -16,10 +16,14 @@
 type fakeStore struct {
 	rows     map[string]store.Row
 	revision store.Revision
+	// copies are the earlier states, newest last, if record is set.
+	copies []fakeCopy
+	record bool
 }
 
 func (s *fakeStore) apply(w Write) bool {
-	if s.rows[w.Key].Revision != w.Expect {
+	// The store knows no eras of expected versions.
+	if s.rows[w.Key].Revision.Version() != w.Expect.Version() {
 		return false
 	}
 	s.revision++
@@ -41,13 +45,17 @@
 
 // simulatedFleet is a set of machines that share one store and one clock.
 type simulatedFleet struct {
-	t     *testing.T
+	t     assert.TestingT
 	now   time.Duration
 	store *fakeStore
 	hosts []*Machine
 	// isolated hosts reach neither the store nor the other hosts. Hosts in
 	// withoutStore reach the other hosts but not the store.
 	isolated, withoutStore map[*Machine]bool
+	// holdBack, if set, returns the time after which the store carries a write out whose
+	// answer is lost, 0 for a write that is answered.
+	holdBack func() time.Duration
+	late     []lateWrite
 }
 
 func newSimulatedFleet(t *testing.T, n int) *simulatedFleet {
@@ -69,12 +77,15 @@
 func (f *simulatedFleet) advance(d time.Duration) {
 	const tick = 50 * time.Millisecond
 	for end := f.now + d; f.now < end; f.now += tick {
+		f.applyLateWrites()
+		f.store.keepCopy(f.now)
 		for _, m := range f.hosts {
 			if f.isolated[m] {
 				m.Tick(f.now) // its writes are lost
 				continue
 			}
 			if !f.withoutStore[m] {
+				f.enterEra(m)
 				m.ApplyRows(f.now, f.now, f.store.allRows(), true)
 			}
 			for _, other := range f.hosts {
@@ -83,7 +94,7 @@
 				}
 			}
 			for _, w := range m.Tick(f.now) {
-				if !f.withoutStore[m] {
+				if !f.withoutStore[m] && !f.isHeldBack(w) {
 					f.store.apply(w)
 				}
 				m.WriteDone(w.Key)
--- a/internal/ownership/recovery.go
+++ b/internal/ownership/recovery.go
@@ -32,7 +32,7 @@
 // written it, and may have used the role until then.
 func (m *Machine) recordPredecessorEnd(name string, r *roleRow, next Role) {
 	delete(m.predecessorEnds, name)
-	if r == nil || !r.NoTakeoverWait || !next.NoTakeoverWait {
+	if r == nil || !r.NoTakeoverWait || !next.NoTakeoverWait || !m.isOfThisEra(r) {
 		return
 	}
 	h, ok := m.hosts[r.Holder]
--- a/internal/ownership/rows.go
+++ b/internal/ownership/rows.go
@@ -52,6 +52,7 @@
 			undecoded = append(undecoded, c.Key)
 		}
 	}
+	m.finishNewEra()
 	if confirmed > 0 && now >= m.LeaseUntil() {
 		m.leaseSince = now
 	}
@@ -86,6 +87,9 @@
 // applyChange applies a change of one row. It returns false if the row cannot be
 // decoded.
 func (m *Machine) applyChange(now time.Duration, c store.Change) bool {
+	if c.Revision.Era() != m.eras.era {
+		return true // of an earlier era, for instance the result of a write
+	}
 	key := strings.TrimPrefix(c.Key, m.space+"/")
 	if name, ok := strings.CutPrefix(key, hostKeyPrefix); ok {
 		return m.applyHostChange(now, name, c)
@@ -143,6 +147,7 @@
 	}
 	if c.Removed {
 		delete(m.roles, name)
+		delete(m.eras.kept, name)
 		return true
 	}
 	r := &roleRow{name: name, revision: c.Revision, firstSeenAt: now}
@@ -150,6 +155,9 @@
 		return false
 	}
 	m.roles[name] = r
+	if !m.eras.entering {
+		delete(m.eras.kept, name)
+	}
 	delete(m.epochRequested, name)
 	return true
 }
--- a/internal/ownership/shell.go
+++ b/internal/ownership/shell.go
@@ -89,7 +89,7 @@
 	}
 	s.follower = &store.Follower{
 		Watcher: opt.Watcher, Space: opt.Space, LongPollWait: PollWait, FirstLongPollDelay: firstLongPoll, MaxConfirmationAge: PollAge, Clock: opt.Clock,
-		Log: opt.Log, Counters: opt.Counters, Apply: s.applyRows, Direct: s.FollowsStore, IsRelay: s.IsRelay,
+		Log: opt.Log, Counters: opt.Counters, Apply: s.applyRows, NewEra: s.newEra, Direct: s.FollowsStore, IsRelay: s.IsRelay,
 	}
 	return s
 }
@@ -126,9 +126,39 @@
 		s.opt.Counters.Add("rows_undecoded", 1)
 		s.opt.Log.Warn().Str("key", key).Msg("row cannot be decoded")
 	}
+	s.reportEra()
 	s.reportChanges(now)
 }
 
+func (s *Shell) newEra(e store.Era) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machine.NewEra(s.opt.Clock(), e)
+}
+
+// EraStart returns a time by which an era of the store had begun, atLatest if none is known.
+func (s *Shell) EraStart(e store.Era, atLatest time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.machine.eras.era == e {
+		return min(atLatest, s.machine.eras.startedAt)
+	}
+	return atLatest
+}
+
+// reportEra logs and counts what became of this host's roles at the start of an era. The
+// caller holds s.mu.
+func (s *Shell) reportEra() {
+	e, ok := s.machine.TakeEraEntry()
+	if !ok {
+		return
+	}
+	s.opt.Counters.Add("roles_kept_in_new_era", int64(e.Kept))
+	s.opt.Counters.Add("roles_given_up_in_new_era", int64(e.GivenUp))
+	s.opt.Log.Warn().Int64("era", e.Era.Number()).Int("kept", e.Kept).Int("given_up", e.GivenUp).Dur("wait", clock.AddDriftMargin(LeaseTTL)).
+		Msg("roles read in a new store era; others are used after the wait")
+}
+
 func (s *Shell) tick(ctx context.Context) {
 	now := s.opt.Clock()
 	wanted := s.opt.WantedRoles()
@@ -157,8 +187,8 @@
 		rev, err = s.opt.Table.CompareAndSwap(ctx, w.Key, w.Expect, w.Value)
 	}
 	now := s.opt.Clock()
-	s.opt.Log.Info().Str("key", w.Key).Str("why", w.Reason).Uint64("expect", uint64(w.Expect)).
-		Uint64("revision", uint64(rev)).Err(err).Msg("row written")
+	s.opt.Log.Info().Str("key", w.Key).Str("why", w.Reason).Int64("era", w.Expect.Era().Number()).Uint64("expect", w.Expect.Version()).
+		Uint64("revision", rev.Version()).Err(err).Msg("row written")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil && !s.machine.registered {
@@ -168,7 +198,7 @@
 		s.machine.ApplyRows(now, 0, []store.Change{{Row: store.Row{Key: w.Key, Value: w.Value, Revision: rev}}}, false)
 		s.reportChanges(now)
 	}
-	if err == nil || errors.Is(err, store.ErrConflict) {
+	if err == nil || errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrEraPassed) {
 		s.machine.WriteDone(w.Key)
 	}
 	return err
@@ -196,7 +226,7 @@
 		}
 		if held != s.loggedRoles[name].held || s.machine.namesSelf(r) || s.loggedRoles[name].holder == s.opt.Self.Name {
 			s.opt.Log.Info().Str("role", name).Str("holder", r.Holder).Uint64("epoch", r.Epoch).
-				Uint64("revision", uint64(r.revision)).Bool("held", held).Msg("role changed")
+				Uint64("revision", r.revision.Version()).Bool("held", held).Msg("role changed")
 		}
 		s.loggedRoles[name] = next
 	}
--- a/internal/store/era.go
+++ b/internal/store/era.go
@@ -13,9 +13,16 @@
 
 // Era counts how often the store has come back from an older copy. What was written after
 // the copy is lost then, and revisions are given out again. Era 0 stands for a store that
-// has named none.
+// has named none, Era n+1 for the number n.
 type Era uint64
 
+// Number returns the number that the store names.
+func (e Era) Number() int64 { return int64(e) - 1 }
+
+// IsFirst reports whether the era may be the first one of the store, whose numbers may
+// begin with 0 or 1.
+func (e Era) IsFirst() bool { return e <= 2 }
+
 const (
 	// versionBits is the number of low bits of a Revision that hold the version.
 	versionBits = 44
@@ -80,7 +87,7 @@
 // has none. It returns the era of the answer.
 func (s *eraState) observe(text string, version uint64) (Era, eraEvent) {
 	n, err := strconv.ParseUint(strings.TrimSpace(text), 10, 64)
-	if err != nil || n > MaxEra {
+	if err != nil || n >= MaxEra {
 		first := !s.unreadable
 		s.unreadable = true
 		s.version = max(s.version, version)
@@ -90,7 +97,7 @@
 		return s.era, noEvent
 	}
 	s.unreadable = false
-	e, event := Era(n), noEvent
+	e, event := Era(n+1), noEvent
 	switch {
 	case s.named && e < s.era:
 		return e, eraPassed
@@ -167,18 +174,18 @@
 	}
 	switch event {
 	case eraFirstNamed:
-		t.counters.Add("store_era", int64(e))
-		t.log.Info().Uint64("era", uint64(e)).Msg("store era")
+		t.counters.Add("store_era", e.Number())
+		t.log.Info().Int64("era", e.Number()).Msg("store era")
 	case eraChanged:
-		t.counters.Add("store_era", int64(e-before.era))
+		t.counters.Add("store_era", int64(e)-int64(max(before.era, 1)))
 		t.counters.Add("store_era_changes", 1)
-		t.log.Warn().Uint64("old", uint64(before.era)).Uint64("new", uint64(e)).Uint64("version_before", before.version).
+		t.log.Warn().Int64("old", before.era.Number()).Int64("new", e.Number()).Uint64("version_before", before.version).
 			Uint64("version_after", version).Msg("store era changed")
 	case eraUnreadable:
 		t.counters.Add("store_era_unreadable", 1)
-		t.log.Warn().Str("text", truncate(text)).Uint64("era", uint64(e)).Msg("store answer names no era")
+		t.log.Warn().Str("text", truncate(text)).Int64("era", e.Number()).Msg("store answer names no era")
 	case eraPassed:
 		t.counters.Add("store_answers_of_earlier_era", 1)
-		t.log.Info().Uint64("answered", uint64(e)).Uint64("era", uint64(before.era)).Msg("store answer of an earlier era dropped")
+		t.log.Info().Int64("answered", e.Number()).Int64("era", before.era.Number()).Msg("store answer of an earlier era dropped")
 	}
 }
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -260,7 +260,7 @@
 	defer f.mu.Unlock()
 	f.logAvailability(ctx, err, sent)
 	if errors.Is(err, ErrHistoryLost) {
-		f.Log.Info().Str("space", f.Space).Uint64("era", uint64(f.revision.Era())).Uint64("revision", f.revision.Version()).
+		f.Log.Info().Str("space", f.Space).Int64("era", f.revision.Era().Number()).Uint64("revision", f.revision.Version()).
 			Msg("store history lost, reading the whole space")
 		f.historyAvailable = false
 		return nil
@@ -429,5 +429,5 @@
 		f.Log.Warn().Str("space", f.Space).Err(err).Dur("after", f.Clock()-sent).Msg("store lost")
 		return
 	}
-	f.Log.Info().Str("space", f.Space).Uint64("era", uint64(f.revision.Era())).Uint64("revision", f.revision.Version()).Msg("store regained")
+	f.Log.Info().Str("space", f.Space).Int64("era", f.revision.Era().Number()).Uint64("revision", f.revision.Version()).Msg("store regained")
 }
