Keep zones out of service and newer registry entries when the store comes back older

Change: rules R9 and R10 of docs/design/store-eras.md. A zone stays out until its row is written again, 10 s at most; the first rows of a new era do not replace an entry of a later start or sequence number. Later entries do as before, since other programs write some, too.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -39,6 +39,8 @@
 	// Incarnation distinguishes successive servers that are registered under the same
 	// name.
 	Incarnation int64
+	// Sequence grows with the entries of an incarnation.
+	Sequence int64
 	// ReportsPrimary is true if the server itself reports that it is the primary.
 	ReportsPrimary bool
 	// ColdRemaining is the time for which the server stays cold, as it reported.
@@ -148,7 +150,12 @@
 	window   customer.Window
 	current  *Configuration
 	zonesOut map[string]bool
-	servers  map[string]Server
+	// zonesKept holds the zones that stay out of service until a time although the rows
+	// that say so may be lost.
+	zonesKept map[string]time.Duration
+	servers   map[string]Server
+	// enteringEra is set by EnterRegistryEra.
+	enteringEra bool
 	// missingSince holds the time since which a server has had no registry
 	// entry.
 	missingSince map[string]time.Duration
@@ -166,7 +173,7 @@
 // New returns an empty Catalog. Zones are all zones of the deployment. The rate
 // limits of the configuration apply over the given window.
 func New(sources Sources, zones []string, window customer.Window) *Catalog {
-	return &Catalog{sources: sources, zones: zones, window: window, zonesOut: map[string]bool{}, servers: map[string]Server{}, missingSince: map[string]time.Duration{}}
+	return &Catalog{sources: sources, zones: zones, window: window, zonesOut: map[string]bool{}, zonesKept: map[string]time.Duration{}, servers: map[string]Server{}, missingSince: map[string]time.Duration{}}
 }
 
 // ApplyConfigurationRows applies changes of the configuration space. If full is set,
@@ -178,6 +185,7 @@
 	}
 	for _, r := range rows {
 		if zone, ok := c.sources.ZoneOut(r.Key); ok {
+			delete(c.zonesKept, zone)
 			if r.Removed {
 				delete(c.zonesOut, zone)
 			} else {
@@ -231,11 +239,15 @@
 			continue
 		}
 		delete(c.missingSince, name)
+		if c.enteringEra && c.isOlderEntry(name, s) {
+			continue
+		}
 		if s.ColdRemaining > 0 {
 			s.ColdUntil = now + s.ColdRemaining
 		}
 		c.servers[name] = s
 	}
+	c.enteringEra = false
 }
 
 // skip records a row that cannot be decoded, unless this revision was recorded before.
@@ -255,9 +267,10 @@
 }
 
 // RemoveMissingServers removes the servers that have been missing for
-// missingServerGrace and reports whether there were any.
+// missingServerGrace, and the zones that have been kept out of service for long enough. It
+// reports whether there were any.
 func (c *Catalog) RemoveMissingServers(now time.Duration) bool {
-	removed := false
+	removed := c.dropKeptZones(now)
 	for name, since := range c.missingSince {
 		if now-since >= missingServerGrace {
 			delete(c.missingSince, name)
@@ -285,6 +298,11 @@
 	for zone := range c.zonesOut {
 		s.ZonesOut = append(s.ZonesOut, zone)
 	}
+	for zone := range c.zonesKept {
+		if !c.zonesOut[zone] {
+			s.ZonesOut = append(s.ZonesOut, zone)
+		}
+	}
 	slices.Sort(s.ZonesOut)
 	if c.current != nil {
 		s.Configuration = c.current
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -44,7 +44,13 @@
 	if !ok {
 		return Server{}, errors.New("malformed")
 	}
-	return Server{Group: group, Server: config.Server{Name: strings.TrimPrefix(key, "reg/"), Zone: zone}}, nil
+	s := Server{Group: group, Server: config.Server{Name: strings.TrimPrefix(key, "reg/"), Zone: zone}}
+	if f := strings.Fields(zone); len(f) == 4 { // zone, incarnation, sequence and state
+		s.Zone, s.Leaving = f[0], f[3] == "leaving"
+		s.Incarnation, _ = strconv.ParseInt(f[1], 10, 64)
+		s.Sequence, _ = strconv.ParseInt(f[2], 10, 64)
+	}
+	return s, nil
 }
 
 func row(key, value string) store.Change {
--- a/internal/catalog/shell.go
+++ b/internal/catalog/shell.go
@@ -91,6 +91,16 @@
 	}
 	s.configurationFollower = newFollower(opt.Sources.ConfigurationSpace(), opt.KeyGrace*confirmAgeTenths/10, s.applyConfiguration)
 	s.registryFollower = newFollower(opt.Sources.RegistrySpace(), registryMaxAge, s.applyRegistry)
+	s.configurationFollower.NewEra = func(store.Era) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.catalog.EnterConfigurationEra(s.opt.Clock())
+	}
+	s.registryFollower.NewEra = func(store.Era) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.catalog.EnterRegistryEra()
+	}
 	return s
 }
 
@@ -159,7 +169,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.catalog.RemoveMissingServers(s.opt.Clock()) {
-		s.opt.Log.Info().Msg("missing backend servers dropped")
+		s.opt.Log.Info().Msg("missing backend servers or zones out of service dropped")
 		s.publish()
 	}
 }
