--- a/internal/ownership/eras_test.go
+++ b/internal/ownership/eras_test.go
@@ -288,3 +288,29 @@
 	f.advance(4 * time.Second) // advance checks that one host at most uses the role
 	assert.Equal(t, f.holder(), old)
 }
+
+// Guards against a claim over a holder that has claimed the role in the new era already, on
+// the strength of the last one.
+func TestHolderOfLastEraYieldsToClaimOfThisEra(t *testing.T) {
+	m := startInNewEra(t, roleChange(firstEra+1, 5, Role{Holder: "h9", Incarnation: 4, Address: "h9:1", Epoch: 90, Era: firstEra + 1}))
+	m.registered = true
+	for _, w := range m.Tick(m.confirmedAt) {
+		assert.Assert(t, w.Key != "rows/role/r", "%s", w.Reason)
+	}
+}
+
+// Guards against a holder that returns with its old epoch after the lost rows have given out
+// a later one.
+func TestHolderThatWaitedGetsANewEpoch(t *testing.T) {
+	m := startInNewEra(t)
+	row := roleChange(firstEra+1, 5, Role{Holder: "h0", Incarnation: 1, Address: "h0:1", Epoch: 3, Era: firstEra, NoTakeoverWait: true})
+	m.ApplyRows(m.confirmedAt, m.confirmedAt, []store.Change{row}, false) // a late write of the last era
+	at := m.confirmedAt + LeaseTTL
+	m.ApplyRows(at, at, nil, false)
+	_, ok := m.AssignedEpoch(at, "r")
+	assert.Assert(t, !ok)
+	w, ok := m.heldRoleWrite(at+time.Second, "r", m.roles["r"])
+	var next Role
+	assert.Assert(t, ok && decodeRow(w.Value, &next))
+	assert.Equal(t, next.Epoch, uint64(store.NewRevision(firstEra+1, 6)))
+}
