--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -70,6 +70,8 @@
 type Adapters struct {
 	Table   store.TableService
 	Watcher store.Watcher
+	// Eras, if set, tracks the eras of the store.
+	Eras    *store.EraTracker
 	Sources catalog.Sources
 	// NewDialer returns a dialer of connections to backend servers.
 	NewDialer func(correlation.Observer) statement.Dialer
@@ -164,6 +166,9 @@
 		self.SpareCapacity = h.settings.spareCapacity()
 	}
 	latencies := telemetry.NewLatencies(h.counters)
+	if a.Eras != nil {
+		a.Eras.SetReporter(h.log, h.counters)
+	}
 	limits := h.settings.ClientLimits.WithDefaults()
 	h.budget = budget.New(h.memoryBytes(), h.clock, h.log, h.counters)
 	for i, maxConns := range map[int]int{readyListener: limits.HTTPConnections, metricsListener: limits.HTTPConnections, peerListener: limits.PeerConnections} {
@@ -212,7 +217,7 @@
 	}
 	if usageCounter != nil {
 		h.usage = usage.New(usage.Options{
-			Settings: usageSettings, Name: self.Name, Incarnation: self.Incarnation, Roles: h.directory, Hosts: h.directory.usageHosts,
+			Settings: usageSettings, Name: self.Name, Incarnation: self.Incarnation, Roles: h.directory, Hosts: h.directory.usageHosts, Era: h.ownership.Era,
 			Ask: h.peerCalls.askUsage, Counter: usageCounter, Table: a.Table, Watcher: a.Watcher, Reporter: a.UsageReporter, Clock: h.clock,
 			TimeOfDay: func() time.Duration { return time.Duration(time.Now().UnixNano()) }, Log: h.log, Counters: h.counters,
 		})
