--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -39,6 +39,7 @@
 	SlowDatabase         Kind = "slow_database"
 	DrainDatabase        Kind = "drain_database"
 	RepeatAnswers        Kind = "repeat_answers" // a database, or all of a group, sends a share of its answers twice
+	RestoreStore         Kind = "restore_store"  // the store comes back from an older copy
 	LosePromotionAnswers Kind = "late_orders"    // promotions are carried out late, without an answer
 	ZoneOut              Kind = "zone_out"
 	WithdrawKey          Kind = "withdraw_key"
@@ -117,6 +118,7 @@
 // seed draws without them.
 var optionalKinds = []kindSpec{
 	{RepeatAnswers, 5 * time.Second},
+	{RestoreStore, 2 * time.Second},
 }
 
 // ParseOptionalKinds returns the kinds of a comma-separated list, or an error if one of
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -84,6 +84,7 @@
 	finalAttempted, finalServed atomic.Int64
 	sessions                    atomic.Int64
 	repeats                     repeatCounts
+	restores                    sync.Mutex
 
 	mu sync.Mutex
 	// lastFaultEnd is the latest end of all unplanned faults so far.
@@ -270,6 +271,8 @@
 		r.env.Store.SetMode(standin.Up)
 	case StoreDropsHistory:
 		r.env.Store.DropHistory()
+	case RestoreStore:
+		r.restoreStore(e)
 	case ReplacePrimariesWhilePaused, ReplacePrimariesWhileIsolated, WithdrawKeyWhileStoreSilent:
 		r.runCompoundEvent(e)
 	default:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -39,19 +39,21 @@
 // drawn, or whose events reach into the final window.
 func TestOptionalKindsKeepThePlan(t *testing.T) {
 	for seed := range uint64(600) {
-		plain, more := NewPlan(seed, 6, 24, time.Minute), NewPlan(seed, 6, 24, time.Minute, RepeatAnswers)
+		plain, more := NewPlan(seed, 6, 24, time.Minute), NewPlan(seed, 6, 24, time.Minute, RepeatAnswers, RestoreStore)
 		for _, e := range more.Events {
 			assert.Assert(t, e.At+e.Duration < time.Minute-finalWindow, "event %s of seed %d lasts into the final window", e, seed)
 		}
-		all := len(more.Events)
-		more.Events = slices.DeleteFunc(more.Events, func(e Event) bool { return e.Kind == RepeatAnswers })
-		assert.Assert(t, len(more.Events) < all, "seed %d", seed)
+		for _, kind := range more.OptionalKinds {
+			before := len(more.Events)
+			more.Events = slices.DeleteFunc(more.Events, func(e Event) bool { return e.Kind == kind })
+			assert.Assert(t, len(more.Events) < before, "seed %d has no %s", seed, kind)
+		}
 		more.OptionalKinds = nil
 		assert.DeepEqual(t, more, plain)
 	}
-	kinds, err := ParseOptionalKinds("repeat_answers")
+	kinds, err := ParseOptionalKinds("repeat_answers,restore_store")
 	assert.NilError(t, err)
-	assert.DeepEqual(t, kinds, []Kind{RepeatAnswers})
+	assert.DeepEqual(t, kinds, []Kind{RepeatAnswers, RestoreStore})
 	_, err = ParseOptionalKinds("kill_host")
 	assert.ErrorContains(t, err, "not an optional kind")
 }
