Drop log lines behind the close of the writer instead of ending in a panic

A session that is still open when a planned stop has reached its limit may log after the writer was closed: a send on a closed channel ends the process.

--- a/internal/telemetry/writer.go
+++ b/internal/telemetry/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/phuslu/log"
 )
@@ -16,12 +17,15 @@
 )
 
 // AsyncLogWriter writes log lines to an output asynchronously and never blocks the
-// caller. Lines that arrive while its queue is full are dropped and counted in the
-// counter log_lines_dropped.
+// caller. Lines that arrive while its queue is full, or after Close, are dropped and counted
+// in the counter log_lines_dropped.
 type AsyncLogWriter struct {
 	lines    chan []byte
 	done     chan struct{}
 	counters *Counters
+	// mu guards closed and the closing of lines.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewAsyncLogWriter starts an AsyncLogWriter that writes to out. Close stops it.
@@ -34,18 +38,33 @@
 // WriteEntry implements log.Writer. It never returns an error.
 func (w *AsyncLogWriter) WriteEntry(e *log.Entry) (int, error) {
 	line := append([]byte(nil), e.Value()...)
+	if !w.enqueue(line) {
+		w.counters.Add("log_lines_dropped", 1)
+	}
+	return len(line), nil
+}
+
+// enqueue reports whether the line was added to the queue.
+func (w *AsyncLogWriter) enqueue(line []byte) bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		return false
+	}
 	select {
 	case w.lines <- line:
+		return true
 	default:
-		w.counters.Add("log_lines_dropped", 1)
+		return false
 	}
-	return len(line), nil
 }
 
-// Close writes the queued lines and stops the AsyncLogWriter. No line may be logged
-// afterwards.
+// Close writes the queued lines and stops the AsyncLogWriter.
 func (w *AsyncLogWriter) Close() {
+	w.mu.Lock()
+	w.closed = true
 	close(w.lines)
+	w.mu.Unlock()
 	<-w.done
 }
 
