--- a/internal/frontend/indoubt_test.go
+++ b/internal/frontend/indoubt_test.go
@@ -10,7 +10,7 @@
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
 )
 
-// Guards against the promise that nothing is kept, at COMMIT or ROLLBACK, after the first write
+// Guards against the promise that nothing is kept, at COMMIT, after the first write
 // of the transaction may have run outside it (BEGIN was answered by a repetition).
 func TestCommitAfterAWriteThatMayHaveRunIsNoPromise(t *testing.T) {
 	x := newFixture(t)
