Let a restore of the soak that begins during another one have no effect

They waited for each other, so that the store was away nearly all the time and restores reached beyond the plan into the final window.

--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -12,9 +12,11 @@
 
 // restoreStore makes the store come back from an older copy after the duration of the event.
 // The target selects the age of the copy and when the lost rows of others are written again.
-// One restore runs at a time.
+// One restore runs at a time: an event that begins during another one has no effect.
 func (r *run) restoreStore(e Event) {
-	r.restores.Lock()
+	if !r.restores.TryLock() {
+		return
+	}
 	defer r.restores.Unlock()
 	age := time.Duration(e.Target%16+1) * maxCopyAge / 16
 	rewriteDelay := time.Duration(e.Target/16%4) * maxRewriteDelay / 3
