--- a/review/standin-2/harness.go
+++ b/review/standin-2/harness.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -69,14 +70,28 @@
 	return os.WriteFile(path, []byte(strings.Join(r.lines, "\n")+"\n"), 0o644)
 }
 
-// freeAddress returns a loopback address with a port that is free now.
+var (
+	portsMu   sync.Mutex
+	usedPorts = map[int]bool{}
+)
+
+// freeAddress returns a loopback address with a port that is free now. It lies below the ports
+// that the kernel gives to outgoing connections, so that it stays free until it is used.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	portsMu.Lock()
+	defer portsMu.Unlock()
+	for {
+		port := 12000 + rand.IntN(20000)
+		if usedPorts[port] {
+			continue
+		}
+		usedPorts[port] = true
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // process is a process that the harness started.
--- a/review/standin-2/stale.go
+++ b/review/standin-2/stale.go
@@ -5,13 +5,14 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
 func init() { cases["stale"] = staleCase }
 
-// commit is a write that was acknowledged to its client.
+const tenantKey = "u6wsjnbanfqasnmgkcuy"
+
+// ackedCommit is a write that was acknowledged to its client.
 type ackedCommit struct {
 	id     string
 	at     time.Duration
@@ -32,7 +33,7 @@
 		return false, err
 	}
 	d.addRoute("bookings", "primary", "ledger", 800, 100, 0)
-	d.addTenant("kandy", "u6wsjnbanfqasnmgkcuy")
+	d.addTenant("kandy", tenantKey)
 	d.configure()
 	if err := d.startHosts(9); err != nil {
 		return false, err
@@ -56,7 +57,7 @@
 		return nil
 	}
 	// Ten bookings are made and acknowledged.
-	w, err := connectAny(d, 0, "clerk", "bookings", "u6wsjnbanfqasnmgkcuy")
+	w, err := connectAny(d, 0, "clerk", "bookings", tenantKey)
 	if err != nil {
 		return false, err
 	}
@@ -88,7 +89,9 @@
 				case <-time.After(500 * time.Millisecond):
 				}
 				if c == nil {
-					if c, err = connectAny(d, i, name, "bookings", "u6wsjnbanfqasnmgkcuy"); err != nil {
+					var err error
+					if c, err = connectAny(d, i, name, "bookings", tenantKey); err != nil {
+						c = nil
 						continue
 					}
 				}
@@ -103,13 +106,39 @@
 			}
 		}()
 	}
-	time.Sleep(3 * time.Second)
+	// The clerk makes a booking every two seconds.
+	wg.Add(1)
+	made := make(chan struct{}, 100)
+	go func() {
+		defer wg.Done()
+		for k := 10; ; k++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Second):
+			}
+			if w == nil {
+				var err error
+				if w, err = connectAny(d, k, "clerk", "bookings", tenantKey); err != nil {
+					w = nil
+					continue
+				}
+			}
+			if write(w, fmt.Sprintf("roller%d", k), fmt.Sprintf("site%d", k)) != nil {
+				w.nc.Close()
+				w = nil
+			}
+			made <- struct{}{}
+		}
+	}()
+	<-made
+	<-made
+	time.Sleep(300 * time.Millisecond)
 	g := d.groups[0]
 	if trouble {
 		// The primary's process ends and starts again, as under any supervisor.
 		p := g.members[0].p
-		d.record.add("platform", "the process of "+g.members[0].id+" ends")
-		p.signal(syscall.SIGKILL)
+		d.record.add("platform", "the process of "+g.members[0].id+", the primary, is killed")
 		p.kill()
 		time.Sleep(100 * time.Millisecond)
 		if err := p.start(); err != nil {
@@ -117,10 +146,7 @@
 		}
 		d.record.add("platform", "the process of "+g.members[0].id+" starts again under its id")
 	}
-	time.Sleep(6 * time.Second)
-	// One more booking.
-	_ = write(w, "roller0", "site99")
-	time.Sleep(4 * time.Second)
+	time.Sleep(10 * time.Second)
 	close(stop)
 	wg.Wait()
 	return judgeStale(d, g, acked, sentReads), nil
