--- a/review/standin-2/database.go
+++ b/review/standin-2/database.go
@@ -33,6 +33,8 @@
 	handshakeMS                       int
 	lagMS                             int
 	largeRows, largeRowBytes          int
+	// Each stutterEvery-th answer to a READ is sent again after stutterMS; 0 for none.
+	stutterEvery, stutterMS int
 
 	mu        sync.Mutex
 	term      uint64
@@ -65,6 +67,8 @@
 	f.IntVar(&d.lagMS, "lag-ms", 8, "")
 	f.IntVar(&d.largeRows, "large-rows", 0, "number of rows of an item whose name begins with large")
 	f.IntVar(&d.largeRowBytes, "large-row-bytes", 0, "")
+	f.IntVar(&d.stutterEvery, "stutter-every", 0, "")
+	f.IntVar(&d.stutterMS, "stutter-ms", 0, "")
 	f.BoolVar(&d.primary, "primary", false, "")
 	_ = f.Parse(args)
 	d.busy = make(chan struct{}, d.slots)
@@ -225,6 +229,7 @@
 	who      string
 	values   map[string]string
 	prepared map[string]string
+	reads    int
 	// tx state
 	open, readOnly, failed bool
 	term                   uint64
@@ -487,13 +492,31 @@
 	}
 	d.event("run id=%s who=%s primary=%t at=%s signature=%s shape=%q text=%q rows=%d first=%q", id, s.who, d.primary, d.position(), signature, shape, text, len(rows), first)
 	d.mu.Unlock()
+	answer := ""
 	for _, r := range rows {
 		fmt.Fprintf(s.out, "DATAROW %s\r\n", r)
+		answer += "DATAROW " + r + "\r\n"
 	}
 	fmt.Fprintf(s.out, "COMPLETE %s\r\n", signature)
+	s.reads++
+	if d.stutterEvery > 0 && word == "READ" && s.reads%d.stutterEvery == 0 {
+		s.repeat(id, answer+"COMPLETE "+signature+"\r\n")
+	}
 	d.mu.Lock()
 }
 
+// repeat sends an answer a second time, late.
+func (s *dbSession) repeat(id, answer string) {
+	time.AfterFunc(time.Duration(s.d.stutterMS)*time.Millisecond, func() {
+		s.d.mu.Lock()
+		p := s.d.position()
+		s.d.mu.Unlock()
+		if _, err := s.nc.Write([]byte(answer + "READY I " + p + "\r\n")); err == nil {
+			s.d.event("repeat of the answer to id=%s", id)
+		}
+	})
+}
+
 // commit appends to the log. The caller holds the lock.
 func (d *database) commit(writes [][]string) {
 	d.log = append(d.log, entry{Term: d.term, Number: uint64(len(d.log) + 1), Writes: writes})
