executor: log which prepared statement runs on a backend connection

The logs could not tell these hypotheses apart: two shapes share a name; a name outlives a reset or a failed PREPARE; a connection is handed on with another list of names; the entry host sends the shape of another session.

--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -140,12 +140,11 @@
 		return nil
 	}
 	sent := c.x.opt.Clock()
-	if err := tx.conn.Reset(c.socketDeadline(sent + probeTimeout)); err != nil {
+	if err := c.resetConn(tx, sent+probeTimeout, resetProbe); err != nil {
 		c.recordOutcome(tx.pool, statement.Rollback, sent, verdict.New(verdict.NotRun, verdict.AnswerOverdue, "reset: %v", err))
 		c.x.opt.Log.Info().Str("id", c.req.GetId()).Str("server", tx.pool.server.Name).Err(err).Msg("silent backend connection closed")
 		return verdict.New(verdict.NotRun, verdict.ConnectionLost, "a connection to backend server %s does not answer", tx.pool.server.Name)
 	}
-	tx.conn.clearState()
 	tx.conn.lastAnswer = c.x.opt.Clock()
 	return nil
 }
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -132,6 +132,8 @@
 	return nil
 }
 
+func (c *fakeConn) Number() uint64 { return uint64(c.id) }
+
 func (c *fakeConn) Close() {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
--- a/internal/executor/prepare.go
+++ b/internal/executor/prepare.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"crypto/sha256"
 	"strconv"
 	"time"
 
@@ -82,6 +83,8 @@
 	case verdict.ServerBusy:
 		return true
 	case verdict.UnknownStatement:
+		c.x.opt.Log.Info().Str("id", c.req.GetId()).Str("server", tx.pool.server.Name).Uint64("connection", tx.conn.Number()).
+			Str("name", preparedName(c.shape())).Msg("prepared statement missing")
 		clear(tx.conn.prepared)
 		return true
 	}
@@ -120,16 +123,28 @@
 // the statement that the request executes, if any. A connection with values that the
 // session has not set is reset first.
 func (c *call) prepareConn(tx *transaction) error {
-	if c.hasForeignValues(tx.conn) || len(tx.conn.prepared) > maxPrepared {
-		if err := tx.conn.Reset(c.socketDeadline(c.deadline)); err != nil {
+	if cause := c.resetCause(tx.conn); cause != "" {
+		if err := c.resetConn(tx, c.deadline, cause); err != nil {
 			return verdict.New(verdict.NotRun, verdict.ConnectionLost, "reset the connection: %v", err)
 		}
-		tx.conn.clearState()
 	}
 	commands, recordSetup := c.setupCommands(tx.conn)
-	if len(commands) == 0 {
-		return nil
+	preparedBefore := len(tx.conn.prepared)
+	if len(commands) > 0 {
+		if err := c.runSetup(tx, commands); err != nil {
+			return err
+		}
+		recordSetup()
+		tx.valuesSet = tx.valuesSet || len(c.req.GetValues()) > 0
+	}
+	if statement.Kind(c.req.GetKind()) == statement.Execute {
+		c.logPrepared(tx, len(tx.conn.prepared) > preparedBefore)
 	}
+	return nil
+}
+
+// runSetup runs commands that set session values or prepare statements.
+func (c *call) runSetup(tx *transaction, commands []statement.Command) error {
 	results, err := c.exchange(tx, commands...)
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.From(err).Reason, "prepare the connection: %v", err)
@@ -139,26 +154,56 @@
 			return verdict.New(verdict.NotRun, verdict.ConnectionLost, "prepare the connection: %v", r.Err)
 		}
 	}
-	recordSetup()
-	tx.valuesSet = tx.valuesSet || len(c.req.GetValues()) > 0
 	return nil
 }
 
-// hasForeignValues reports whether the connection has, or may have, session values
-// that the request does not set.
-func (c *call) hasForeignValues(conn *conn) bool {
-	if !guard.Enabled(guard.Values) {
-		return false
+// Causes of resets, for logs and counters.
+const (
+	resetForeignValues   = "foreign_values"
+	resetUncertainValues = "uncertain_values"
+	resetPreparedLimit   = "prepared_limit"
+	resetProbe           = "probe"
+)
+
+// resetCause returns why the connection must be reset before the request uses it: it has
+// session values that the request does not set, or may have, or too many prepared
+// statements. It is empty if no reset is needed.
+func (c *call) resetCause(conn *conn) string {
+	if guard.Enabled(guard.Values) {
+		if conn.valuesUncertain {
+			return resetUncertainValues
+		}
+		for name := range conn.values {
+			if _, ok := c.req.GetValues()[name]; !ok {
+				return resetForeignValues
+			}
+		}
 	}
-	if conn.valuesUncertain {
-		return true
+	if len(conn.prepared) > maxPrepared {
+		return resetPreparedLimit
 	}
-	for name := range conn.values {
-		if _, ok := c.req.GetValues()[name]; !ok {
-			return true
-		}
+	return ""
+}
+
+// resetConn drops the session values and prepared statements of the connection.
+func (c *call) resetConn(tx *transaction, deadline time.Duration, cause string) error {
+	err := tx.conn.Reset(c.socketDeadline(deadline))
+	c.x.opt.Counters.Add("backend_connections_reset_"+cause, 1)
+	c.x.opt.Log.Info().Str("id", c.req.GetId()).Str("server", tx.pool.server.Name).Uint64("connection", tx.conn.Number()).
+		Str("cause", cause).Err(err).Msg("backend connection reset")
+	if err == nil {
+		tx.conn.clearState()
 	}
-	return false
+	return err
+}
+
+// logPrepared logs which prepared statement the request executes on the connection, and
+// whether it was prepared there for this request.
+func (c *call) logPrepared(tx *transaction, added bool) {
+	shape := sha256.Sum256([]byte(c.req.GetShape()))
+	c.x.opt.Log.Info().Str("id", c.req.GetId()).Str("server", tx.pool.server.Name).Uint64("connection", tx.conn.Number()).
+		Str("name", preparedName(c.shape())).Hex("shape_sha256", shape[:]).Int("shape_bytes", len(c.req.GetShape())).
+		Bool("added", added).Msg("prepared statement chosen")
 }
 
 // setupCommands returns the commands that set the missing session values and prepare
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -160,6 +160,8 @@
 	IsOpen() bool
 	// Reset drops the session values and prepared statements of the connection.
 	Reset(deadline time.Time) error
+	// Number identifies the connection in the logs of this host.
+	Number() uint64
 	Close()
 }
 
