executor, session: name prepared statements by a cryptographic hash

The statements were writes: another statement than the client's was carried out and acknowledged.

Cause: on backend connections of the line protocol, a prepared statement was named by the 64-bit xxHash of its shape, and a connection holds only the names. xxHash is invertible, and clients choose the shapes: q9f00000vIqX2tUSXm7FAUCV has the hash of q2c. The second PREPARE was left out, as the name seemed to be there.

The PostgreSQL path, which cut its digest to 128 bits, uses it too: with 128 bits, who chooses both texts finds two with one name after some 2^64 tries, with 256 after 2^128. Names still depend on the content alone, so that a name cannot mean another statement after a reset that the host and the server see differently, and no text is kept. The digest is computed once for a request, where the old name was computed up to three times.

--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -23,6 +23,8 @@
 	pool     *serverPool
 	began    time.Duration
 	deadline time.Duration
+	// prepared is what the request executes if it is an Execute.
+	prepared preparedStatement
 	// probe is set if the read is a probe, probeOutcome is what the last outcome says.
 	probe        supervise.Probe
 	probeOutcome supervise.ProbeOutcome
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -227,6 +227,9 @@
 func (x *Executor) Execute(ctx context.Context, req *peerpb.ExecuteRequest) *peerpb.ExecuteResponse {
 	c := &call{x: x, ctx: ctx, req: req, began: x.opt.Clock(), resp: &peerpb.ExecuteResponse{}}
 	c.deadline = c.began + time.Duration(req.GetTimeoutUs())*time.Microsecond
+	if statement.Kind(req.GetKind()) == statement.Execute {
+		c.prepared = newPreparedStatement(statement.Shape{Writes: req.GetShapeWrites(), Text: req.GetShape()})
+	}
 	var err error
 	if req.GetTransaction() != 0 {
 		err = c.continueTransaction()
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -26,6 +27,8 @@
 	mu              sync.Mutex
 	conns           int
 	commands        []string
+	executed        []execution
+	dialed          []*fakeConn
 	failWith        func(c *fakeConn, cmd statement.Command) *verdict.Error
 	dropsAnswer     func(cmd statement.Command) bool
 	number          uint64
@@ -40,13 +43,21 @@
 	beginUnconfirmed bool
 }
 
+// execution is a prepared statement that the server ran.
+type execution struct {
+	id     string
+	shape  statement.Shape
+	values map[string]string
+	conn   int
+}
+
 type fakeConn struct {
 	s        *fakeServer
 	id       int
 	customer string
 	state    statement.State
 	values   map[string]string
-	prepared map[string]bool
+	prepared map[string]statement.Shape
 }
 
 func (s *fakeServer) Dial(_ context.Context, t statement.Target) (statement.Conn, error) {
@@ -59,7 +70,18 @@
 	s.conns++
 	s.open++
 	s.maxOpen = max(s.maxOpen, s.open)
-	return &fakeConn{s: s, id: s.conns, customer: t.Customer, values: map[string]string{}, prepared: map[string]bool{}}, nil
+	c := &fakeConn{s: s, id: s.conns, customer: t.Customer, values: map[string]string{}, prepared: map[string]statement.Shape{}}
+	s.dialed = append(s.dialed, c)
+	return c, nil
+}
+
+// forgetPrepared drops the prepared statements of all connections.
+func (s *fakeServer) forgetPrepared() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.dialed {
+		clear(c.prepared)
+	}
 }
 
 func (c *fakeConn) Run(deadline time.Time, commands ...statement.Command) ([]statement.Result, error) {
@@ -96,11 +118,16 @@
 	case statement.Set:
 		c.values[cmd.Name] = cmd.Arguments
 	case statement.Prepare:
-		c.prepared[cmd.Name] = true
+		c.prepared[cmd.Name] = cmd.Shape
 	case statement.Execute:
-		if !c.prepared[cmd.Name] {
+		shape, ok := c.prepared[cmd.Name]
+		if !ok {
+			if c.state == statement.InTransaction {
+				c.state = statement.Failed
+			}
 			return statement.Result{Err: verdict.New(verdict.NotRun, verdict.UnknownStatement, "none"), State: c.state}
 		}
+		c.s.executed = append(c.s.executed, execution{id: cmd.ID, shape: shape, values: maps.Clone(c.values), conn: c.id})
 	}
 	r := statement.Result{State: c.state, Position: statement.Position{Term: 1, Number: c.s.number}}
 	switch cmd.Kind {
--- a/internal/executor/pool.go
+++ b/internal/executor/pool.go
@@ -63,6 +63,7 @@
 	id       backend.ConnID
 	customer string
 	values   map[string]string
+	// prepared holds the names of the prepared statements.
 	prepared map[string]bool
 	// valuesUncertain is set when the session values at the server may differ from
 	// values.
--- a/internal/executor/prepare.go
+++ b/internal/executor/prepare.go
@@ -2,11 +2,8 @@
 
 import (
 	"crypto/sha256"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cranberryhinge/cranberryhinge/internal/guard"
 	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 	"github.com/cranberryhinge/cranberryhinge/internal/verdict"
@@ -84,7 +81,7 @@
 		return true
 	case verdict.UnknownStatement:
 		c.x.opt.Log.Info().Str("id", c.req.GetId()).Str("server", tx.pool.server.Name).Uint64("connection", tx.conn.Number()).
-			Str("name", preparedName(c.shape())).Msg("prepared statement missing")
+			Str("name", c.prepared.name).Msg("prepared statement missing")
 		clear(tx.conn.prepared)
 		return true
 	}
@@ -97,7 +94,7 @@
 	kind := statement.Kind(c.req.GetKind())
 	cmd := statement.Command{Statement: statement.Statement{ID: c.req.GetId(), Kind: kind, Text: c.req.GetText()}}
 	if kind == statement.Execute {
-		cmd.Name, cmd.Arguments = preparedName(c.shape()), c.req.GetArguments()
+		cmd.Name, cmd.Arguments = c.prepared.name, c.req.GetArguments()
 	}
 	if !inTx || beginUnconfirmed && !c.req.GetShapeWrites() && (kind == statement.Read || kind == statement.Execute) {
 		cmd.Floor = requestFloor(c.req)
@@ -105,18 +102,21 @@
 	return cmd
 }
 
-func (c *call) shape() statement.Shape {
-	return statement.Shape{Writes: c.req.GetShapeWrites(), Text: c.req.GetShape()}
+// preparedStatement is the prepared statement that a request executes.
+type preparedStatement struct {
+	shape statement.Shape
+	// digest is the digest of the shape's text, name the name on backend connections.
+	digest statement.Digest
+	name   string
 }
 
-// preparedName returns the name of a prepared statement on backend connections. It
-// depends only on the shape, so that sessions share prepared statements.
-func preparedName(s statement.Shape) string {
+func newPreparedStatement(s statement.Shape) preparedStatement {
 	prefix := "r"
 	if s.Writes {
 		prefix = "w"
 	}
-	return prefix + strconv.FormatUint(xxhash.Sum64String(s.Text), 36)
+	digest := statement.Digest(sha256.Sum256([]byte(s.Text)))
+	return preparedStatement{shape: s, digest: digest, name: statement.BackendName(prefix, digest)}
 }
 
 // prepareConn sets the session values of the request on the connection, and prepares
@@ -200,9 +200,8 @@
 // logPrepared logs which prepared statement the request executes on the connection, and
 // whether it was prepared there for this request.
 func (c *call) logPrepared(tx *transaction, added bool) {
-	shape := sha256.Sum256([]byte(c.req.GetShape()))
 	c.x.opt.Log.Info().Str("id", c.req.GetId()).Str("server", tx.pool.server.Name).Uint64("connection", tx.conn.Number()).
-		Str("name", preparedName(c.shape())).Hex("shape_sha256", shape[:]).Int("shape_bytes", len(c.req.GetShape())).
+		Str("name", c.prepared.name).Hex("shape_sha256", c.prepared.digest[:]).Int("shape_bytes", len(c.prepared.shape.Text)).
 		Bool("added", added).Msg("prepared statement chosen")
 }
 
@@ -215,19 +214,16 @@
 			commands = append(commands, statement.Command{Statement: statement.Statement{Kind: statement.Set, Name: name, Arguments: value}})
 		}
 	}
-	name := ""
-	if statement.Kind(c.req.GetKind()) == statement.Execute {
-		if n := preparedName(c.shape()); !conn.prepared[n] {
-			name = n
-			commands = append(commands, statement.Command{Statement: statement.Statement{Kind: statement.Prepare, Name: n, Shape: c.shape()}})
-		}
+	missing := statement.Kind(c.req.GetKind()) == statement.Execute && !conn.prepared[c.prepared.name]
+	if missing {
+		commands = append(commands, statement.Command{Statement: statement.Statement{Kind: statement.Prepare, Name: c.prepared.name, Shape: c.prepared.shape}})
 	}
 	return commands, func() {
 		for n, v := range c.req.GetValues() {
 			conn.values[n] = v
 		}
-		if name != "" {
-			conn.prepared[name] = true
+		if missing {
+			conn.prepared[c.prepared.name] = true
 		}
 	}
 }
--- a/internal/session/statement.go
+++ b/internal/session/statement.go
@@ -3,15 +3,12 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"encoding/hex"
 	"unique"
 
 	"github.com/cranberryhinge/cranberryhinge/internal/peer/peerpb"
+	"github.com/cranberryhinge/cranberryhinge/internal/statement"
 )
 
-// hashBytes is the number of bytes of the SHA-256 digest in a backend name.
-const hashBytes = 16
-
 // missingPrefix is the prefix of backend names for statements that the client has
 // not prepared. No statement is ever prepared under such a name, so the backend
 // server reports the error and aborts an open transaction.
@@ -23,8 +20,7 @@
 	// same texts.
 	text unique.Handle[string]
 	oids []uint32
-	// backendName is the statement's name on backend connections. It is a
-	// cryptographic hash, because sessions of different customers share these names.
+	// backendName is the statement's name on backend connections.
 	backendName string
 	local       *localStatement
 }
@@ -42,7 +38,7 @@
 	return &Statement{
 		text:        unique.Make(text),
 		oids:        oids,
-		backendName: "s" + hex.EncodeToString(h.Sum(nil)[:hashBytes]),
+		backendName: statement.BackendName("s", statement.Digest(h.Sum(nil))),
 	}
 }
 
