executor: do not report a prepared statement that the server lost as unknown to its client

Cause: the error of the server was passed on. The name in it is that of the host on its connection, and says nothing about the names of the client. Inside a transaction it already became ABORTED.

Change: after the retries it becomes connection_lost with the same verdict, so that the entry host tries again, and the client receives BUSY, a promise, in the end.

TestLossOfPreparedStatementIsNotReportedAsUnknown failed before: "unknown_statement != connection_lost".

--- a/internal/executor/prepare.go
+++ b/internal/executor/prepare.go
@@ -24,6 +24,10 @@
 		r := results[0]
 		again := r.Err != nil && try < maxBusyRetries && c.canRetry(tx, inTx, r)
 		if !again || c.x.opt.Clock()+busyRetryDelay >= c.deadline {
+			if r.Err != nil && r.Err.Reason == verdict.UnknownStatement {
+				// The unknown name is that of the host, not one that the client has prepared.
+				r.Err = verdict.New(r.Err.Verdict, verdict.ConnectionLost, "backend server %s has lost a prepared statement", tx.pool.server.Name)
+			}
 			return r, nil
 		}
 		c.x.opt.Counters.CountRetry(r.Err.Reason)
--- a/internal/executor/prepare_test.go
+++ b/internal/executor/prepare_test.go
@@ -43,6 +43,24 @@
 	assert.Equal(t, f.server.conns, 1)
 }
 
+// Guards against telling a client that a statement which it has prepared is unknown, because
+// the server has lost it again and again: the name is that of the host.
+func TestLossOfPreparedStatementIsNotReportedAsUnknown(t *testing.T) {
+	for _, writes := range []bool{false, true} {
+		f := newFixture(t)
+		f.server.failWith = func(c *fakeConn, cmd statement.Command) *verdict.Error {
+			if cmd.Kind == statement.Execute {
+				clear(c.prepared)
+			}
+			return nil
+		}
+		r := execute("q")
+		r.ShapeWrites, r.Primary = writes, writes
+		f.wantFailure(f.do(r), verdict.NotRun, verdict.ConnectionLost)
+		assert.Equal(t, len(f.server.executed), 0)
+	}
+}
+
 // preparedModel draws requests that share the connections of one customer, and checks at
 // the server that each one ran its own shape with the values of its session.
 type preparedModel struct {
