frontend: do not acknowledge a PREPARE that cannot be sent on

Callers saw: a PREPARE within a few bytes of 1 MiB was acknowledged, and each EXECUTE of it was answered with MALFORMED, as the message that prepares it at a database was over the limit. The entry host tried again until half of the latency target had passed, and each try cost a connection to the database.

Cause: the name at the database is longer than that of the client.

Change: a shape may have 1 MiB less 256 bytes; a longer one is refused at PREPARE with an error that names the limit.

TestShapeThatCannotBeSentOnIsNotAcknowledged failed before: "r.Err is nil".

--- a/internal/frontend/limits_test.go
+++ b/internal/frontend/limits_test.go
@@ -136,3 +136,18 @@
 	}, config.Route{}, 0)
 	assert.Assert(t, proto.Size(o.newRequest()) <= peer.MaxTypedMessageBytes)
 }
+
+// Guards against acknowledging a PREPARE that cannot be sent on, because the name at the
+// backend server is longer than that of the client: no EXECUTE of it could ever run.
+func TestShapeThatCannotBeSentOnIsNotAcknowledged(t *testing.T) {
+	x := newFixture(t)
+	c := x.open("current")
+	prepare := func(size int) statement.Result {
+		c.in <- statement.Statement{ID: "id", Kind: statement.Prepare, Name: "s", Shape: statement.Shape{Text: strings.Repeat("q", size)}}
+		return <-c.out
+	}
+	const largest = 1<<20 - len("QUERY 1 PREPARE s READ \r\n")
+	wantErr(t, prepare(largest), verdict.NotRun, verdict.ProtocolViolation)
+	wantErr(t, prepare(statement.MaxShapeBytes+1), verdict.NotRun, verdict.ProtocolViolation)
+	assert.Assert(t, prepare(statement.MaxShapeBytes).Err == nil)
+}
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -397,6 +398,9 @@
 	if !ok && len(s.prepared) >= maxSessionEntries {
 		return s.protocolViolation("the session has too many prepared statements")
 	}
+	if len(st.Shape.Text) > statement.MaxShapeBytes {
+		return s.protocolViolation(fmt.Sprintf("the prepared statement has more than %d bytes", statement.MaxShapeBytes))
+	}
 	delta := len(st.Shape.Text) - len(old.Text)
 	if !ok {
 		delta += len(st.Name)
--- a/internal/statement/backendname.go
+++ b/internal/statement/backendname.go
@@ -7,6 +7,10 @@
 
 var backendNameEncoding = base32.NewEncoding("abcdefghijklmnopqrstuvwxyz234567").WithPadding(base32.NoPadding)
 
+// MaxShapeBytes limits the text of a Shape: a message of 1 MiB has to hold it together with
+// the backend name.
+const MaxShapeBytes = 1<<20 - 256
+
 // Digest identifies the content of a prepared statement. Clients choose the content, so
 // only a cryptographic hash keeps two statements apart, and all of its bits are needed if
 // the same client chooses both.
