soak: draw the shapes of prepared statements, and prepare names again

Callers now draw shapes, a quarter of them from two with the same 64-bit xxHash, prepare their names again, partly after a DEALLOC and inside transactions, and execute them inside transactions.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -57,7 +57,8 @@
 	}
 	if rnd.IntN(2) == 0 {
 		// Sessions use the same statement names for different statements.
-		if !r.checkOutcome(p, time.Now(), c.Prepare("s1", text.extend(fmt.Sprintf("READ q%d", rnd.IntN(3))))) || !r.checkOutcome(p, time.Now(), c.Prepare("s2", text.extend("WRITE w"))) {
+		if !r.checkOutcome(p, time.Now(), c.Prepare("s1", text.shape("READ", text.extend(fmt.Sprintf("q%d", rnd.IntN(3)))))) ||
+			!r.checkOutcome(p, time.Now(), c.Prepare("s2", text.shape("WRITE", text.extend("w")))) {
 			return
 		}
 	}
@@ -68,12 +69,25 @@
 		}
 		ok, sessionUsable := r.runOperation(rnd, text, p, c)
 		r.countOperation(ok)
-		if !sessionUsable {
+		if !sessionUsable || !r.prepareAgain(text, p, c) {
 			return
 		}
 	}
 }
 
+// prepareAgain prepares the session's names again from time to time, with other shapes and
+// partly after a DEALLOC. It reports whether the session is still usable.
+func (r *run) prepareAgain(text texts, p *process, c *standin.Caller) bool {
+	if !c.Prepared("s1") || !c.Prepared("s2") || !text.preparesAgain() {
+		return true
+	}
+	usable := func(o standin.Outcome) bool { return r.checkOutcome(p, time.Now(), o) && o.OK }
+	if text.deallocates() && !usable(c.Deallocate("s1")) {
+		return false
+	}
+	return usable(c.Prepare("s1", text.shape("READ", "q"))) && usable(c.Prepare("s2", text.shape("WRITE", "w")))
+}
+
 func (r *run) countOperation(ok bool) {
 	r.attempted.Add(1)
 	inFinalWindow := time.Since(r.startTime) > r.Plan.Duration-finalWindow
@@ -103,10 +117,17 @@
 	}
 	for range 1 + rnd.IntN(4) {
 		time.Sleep(time.Duration(rnd.IntN(20)) * time.Millisecond)
+		if !r.prepareAgain(text, p, c) {
+			return false, false
+		}
 		sent = time.Now()
 		var o standin.Outcome
 		if read || rnd.IntN(2) == 0 {
-			o = c.Read(item)
+			if c.Prepared("s1") && text.executesInTransaction() {
+				o = c.Execute("s1", item)
+			} else {
+				o = c.Read(item)
+			}
 		} else {
 			o = c.Write(item, text.extend("data"))
 		}
