executor, failover: do not read at a primary that has lost its log

Cause: reads at the primary carried no log position; an answered read counted as evidence of a live primary, so that its status was not asked for; a registry entry with another `born` did not end the lead.

Change: reads and BEGIN at the primary require the newest position that the group's owner knows of this server as the primary. A refusal makes the owner ask for its status at once. It loses the lead if it is no primary, if it reports a position below one that was known before it was asked, or if the registry has it with another incarnation. A server that calls itself primary without knowing the last primary's term is not confirmed. New log line and counter: `primary lacks a known position`, primary_reads_lagging.

Why it works: a commit is acknowledged by the owner after its position was recorded from an answer of this very server, so a sound primary has it and one without its log does not, whatever store and registry say.

TestSoundPrimaryIsKeptWhenAPositionIsMissing fails if reports are compared with later commits.

--- a/internal/executor/call.go
+++ b/internal/executor/call.go
@@ -179,7 +179,7 @@
 
 // begin opens the transaction on the connection. If it fails, it ends the request.
 func (c *call) begin(tx *transaction) error {
-	cmd := statement.Command{Statement: statement.Statement{ID: c.req.GetBeginId(), Kind: statement.Begin, Text: c.req.GetBeginText()}, Floor: requestFloor(c.req)}
+	cmd := statement.Command{Statement: statement.Statement{ID: c.req.GetBeginId(), Kind: statement.Begin, Text: c.req.GetBeginText()}, Floor: c.requireFloor(tx)}
 	results, err := c.exchange(tx, cmd)
 	if err == nil && results[0].Err != nil {
 		err = c.reportIfNotPrimary(tx, results[0].Err)
@@ -197,16 +197,32 @@
 }
 
 // reportIfNotPrimary notifies the Authority when the error shows that the server is no
-// longer the primary. It returns e.
+// longer the primary, or that it may have lost its log. It returns e.
 func (c *call) reportIfNotPrimary(tx *transaction, e *verdict.Error) error {
-	if e.Reason == verdict.ReadOnly && tx.primary {
+	if !tx.primary {
+		return e
+	}
+	switch e.Reason {
+	case verdict.ReadOnly:
 		c.x.opt.Authority.RecordNotPrimary(tx.pool.server.Group, tx.pool.server.Name)
+	case verdict.NoFreshReplica:
+		c.x.opt.Counters.Add("primary_reads_lagging", 1)
+		c.x.opt.Log.Info().Str("id", c.req.GetId()).Str("server", tx.pool.server.Name).
+			Uint64("term", tx.floor.Term).Uint64("number", tx.floor.Number).Msg("primary lacks a known position")
+		c.x.opt.Authority.RecordMissingPosition(tx.pool.server.Group, tx.pool.server.Name)
 	}
 	return e
 }
 
-func requestFloor(req *peerpb.ExecuteRequest) statement.Position {
-	return statement.Position{Term: req.GetFloor().GetTerm(), Number: req.GetFloor().GetPosition()}
+// requireFloor returns and records the log position that the server must have before it
+// runs a read or a BEGIN. For the primary it is the newest one that this host knows: a server
+// that has started again without its log does not have it.
+func (c *call) requireFloor(tx *transaction) statement.Position {
+	tx.floor = statement.Position{Term: c.req.GetFloor().GetTerm(), Number: c.req.GetFloor().GetPosition()}
+	if tx.primary {
+		tx.floor = statement.Max(tx.floor, c.x.opt.Authority.Position(tx.pool.server.Group, tx.pool.server.Name))
+	}
+	return tx.floor
 }
 
 // release ends a request whose connection is in the given state, and rolls back an
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -62,6 +62,12 @@
 	// RecordNotPrimary records that the server rejected a write because it is no
 	// longer the primary.
 	RecordNotPrimary(group, server string)
+	// Position returns the newest log position that the server is known to have as the
+	// primary, zero if none is known.
+	Position(group, server string) statement.Position
+	// RecordMissingPosition records that the server lacks a position that Position
+	// returned for it.
+	RecordMissingPosition(group, server string)
 }
 
 // Options configure an Executor.
@@ -110,6 +116,8 @@
 	// beginUnconfirmed is set until the first statement has succeeded if the answer to BEGIN
 	// may have been that to an earlier one.
 	beginUnconfirmed bool
+	// floor is the log position that the last read or BEGIN required.
+	floor statement.Position
 	// valuesSet reports whether session values may have been set for the transaction.
 	valuesSet bool
 	// busy is set while a statement of the transaction runs. lastUsed is when the last
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -173,6 +173,8 @@
 	hasPrimary      bool
 	rejectsCommits  bool
 	notPrimaryCalls int
+	position        statement.Position
+	missingCalls    int
 	positions       []statement.Position
 }
 
@@ -196,6 +198,18 @@
 	return !a.rejectsCommits
 }
 
+func (a *fakeAuthority) Position(string, string) statement.Position {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.position
+}
+
+func (a *fakeAuthority) RecordMissingPosition(string, string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.missingCalls++
+}
+
 func (a *fakeAuthority) RecordNotPrimary(string, string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -540,3 +554,57 @@
 	f.do(read())
 	assert.Equal(t, count(), int64(5))
 }
+
+// Guards against a read on the primary that lacks acknowledged commits, because its server has
+// started again without its log and the host does not know it yet.
+func TestReadsOfThePrimaryRequireItsKnownPosition(t *testing.T) {
+	known := statement.Position{Term: 1, Number: 10}
+	readTx := read()
+	readTx.BeginId, readTx.BeginText, readTx.BeginReads = "0", "BEGIN READ", true
+	writeTx := read()
+	writeTx.BeginId, writeTx.BeginText = "0", "BEGIN"
+	prepared := execute("q")
+	for name, req := range map[string]*peerpb.ExecuteRequest{"read": read(), "execute": prepared, "read-only transaction": readTx, "transaction": writeTx} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			req.Primary = true
+			f.authority.position = known
+			ran := 0
+			f.server.failWith = func(_ *fakeConn, cmd statement.Command) *verdict.Error {
+				if cmd.Kind == statement.Prepare {
+					return nil
+				}
+				assert.Equal(t, cmd.Floor, known)
+				if f.server.number < cmd.Floor.Number {
+					return verdict.New(verdict.NotRun, verdict.NoFreshReplica, "behind")
+				}
+				ran++
+				return nil
+			}
+			f.wantFailure(f.do(req), verdict.NotRun, verdict.NoFreshReplica)
+			assert.Equal(t, ran, 0)
+			assert.Equal(t, f.authority.missingCalls, 1)
+		})
+	}
+}
+
+// Guards against a write that is sent with a log position, which the protocol does not allow,
+// and against one on the statements of a transaction.
+func TestWritesRequireNoPosition(t *testing.T) {
+	f := newFixture(t)
+	f.authority.position = statement.Position{Term: 1, Number: 10}
+	f.server.failWith = func(_ *fakeConn, cmd statement.Command) *verdict.Error {
+		assert.Assert(t, cmd.Kind == statement.Begin || cmd.Floor.IsZero(), "%s", cmd.Kind)
+		return nil
+	}
+	assert.Assert(t, f.do(write()).GetFailure() == nil)
+	prepared := execute("q")
+	prepared.ShapeWrites, prepared.Primary = true, true
+	assert.Assert(t, f.do(prepared).GetFailure() == nil)
+	first := write()
+	first.BeginText = "BEGIN"
+	next := read()
+	next.Transaction = f.do(first).GetTransaction()
+	assert.Assert(t, next.Transaction != 0)
+	assert.Assert(t, f.do(next).GetFailure() == nil)
+}
--- a/internal/executor/prepare.go
+++ b/internal/executor/prepare.go
@@ -17,7 +17,7 @@
 		if err := c.prepareConn(tx); err != nil {
 			return statement.Result{}, err
 		}
-		results, err := c.exchangeCounted(tx, c.newCommand(inTx, tx.beginUnconfirmed))
+		results, err := c.exchangeCounted(tx, c.newCommand(tx, inTx))
 		if err != nil {
 			return statement.Result{}, err
 		}
@@ -94,14 +94,15 @@
 
 // newCommand returns the client's statement as a command for the connection. A read whose
 // BEGIN may have failed requires the log position, too.
-func (c *call) newCommand(inTx, beginUnconfirmed bool) statement.Command {
+func (c *call) newCommand(tx *transaction, inTx bool) statement.Command {
 	kind := statement.Kind(c.req.GetKind())
 	cmd := statement.Command{Statement: statement.Statement{ID: c.req.GetId(), Kind: kind, Text: c.req.GetText()}}
 	if kind == statement.Execute {
 		cmd.Name, cmd.Arguments = c.prepared.name, c.req.GetArguments()
 	}
-	if !inTx || beginUnconfirmed && !c.req.GetShapeWrites() && (kind == statement.Read || kind == statement.Execute) {
-		cmd.Floor = requestFloor(c.req)
+	isRead := kind == statement.Read || kind == statement.Execute && !c.req.GetShapeWrites()
+	if isRead && (!inTx || tx.beginUnconfirmed) {
+		cmd.Floor = c.requireFloor(tx)
 	}
 	return cmd
 }
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -174,7 +174,10 @@
 	WaitReason string
 	// stalled is set while the primary does not answer and none can be promoted.
 	stalled bool
-	actions []Action
+	// logDoubted is set when the primary has answered that it lacks a position that it had,
+	// until its next report.
+	logDoubted bool
+	actions    []Action
 }
 
 // NewMachine returns a Machine in the phase Idle.
@@ -207,6 +210,15 @@
 	return "", false
 }
 
+// Position returns the newest log position that the server is known to have as the
+// primary, zero if none is known.
+func (m *Machine) Position(server string) statement.Position {
+	if server == "" || server != m.primary {
+		return statement.Position{}
+	}
+	return m.lastPosition
+}
+
 // PrimaryExpected reports whether the group has no usable primary but is about to get
 // one.
 func (m *Machine) PrimaryExpected() bool {
@@ -220,7 +232,7 @@
 		m.planned = false
 	}
 	m.phase, m.phaseSince, m.PhaseReason = p, now, reason
-	m.searchSince, m.WaitReason, m.stalled = 0, "", false
+	m.searchSince, m.WaitReason, m.stalled, m.logDoubted = 0, "", false, false
 }
 
 // Tick advances the machine to the time now and returns the actions to perform.
@@ -230,7 +242,7 @@
 func (m *Machine) Tick(now time.Duration, epoch uint64, usable bool, group Group) []Action {
 	m.actions = m.actions[:0]
 	m.group = group
-	m.forgetServers()
+	m.forgetServers(now)
 	if epoch != m.epoch {
 		m.epochChanged(now, epoch)
 	}
@@ -290,7 +302,8 @@
 	if m.pollsInFlight[server] {
 		return
 	}
-	m.pollsInFlight[server], m.contact(server).polledAt = true, now
+	c := m.contact(server)
+	m.pollsInFlight[server], c.polledAt, c.positionAtPoll = true, now, m.Position(server)
 	m.actions = append(m.actions, Poll{Server: server})
 }
 
@@ -325,12 +338,13 @@
 }
 
 // reportedPrimary returns the server that reports that it is the primary, the one of
-// the highest term if there are several.
+// the highest term if there are several. One that does not know the term of the last primary
+// has lost its log.
 func (m *Machine) reportedPrimary() (string, bool) {
 	best, term := "", uint64(0)
 	for _, x := range m.group.Members {
 		r, ok := m.reports[x.Name]
-		if ok && r.pollSentAt >= m.phaseSince && r.status.Primary && r.status.Position.Term >= term {
+		if ok && r.pollSentAt >= m.phaseSince && r.status.Primary && r.status.Position.Term >= term && r.status.Term >= m.lastPosition.Term {
 			best, term = x.Name, r.status.Position.Term
 		}
 	}
@@ -425,7 +439,7 @@
 	}
 	m.unusableSince = 0
 	silence := now - m.lastContactAt
-	if silence >= idlePollDelay {
+	if silence >= idlePollDelay || m.logDoubted {
 		m.pollServer(now, m.primary)
 	} else {
 		m.recordReplicas(now)
@@ -504,6 +518,9 @@
 // refused is set if the server refused the connection.
 func (m *Machine) OnPollResult(now, sent time.Duration, server string, status statement.Status, err error, refused bool) {
 	delete(m.pollsInFlight, server)
+	if server == m.primary {
+		m.logDoubted = false
+	}
 	if err != nil {
 		if refused {
 			m.contact(server).refusedAt = sent
@@ -528,9 +545,15 @@
 		return
 	}
 	m.contact(server).newReportAt = sent
-	if server == m.primary && m.phase == Leading && !status.Primary {
-		m.enterPhase(now, Surveying, "the primary has lost the lead")
-		return
+	if server == m.primary && m.phase == Leading {
+		switch {
+		case !status.Primary:
+			m.enterPhase(now, Surveying, "the primary has lost the lead")
+			return
+		case status.Position.Less(m.contact(server).positionAtPoll):
+			m.enterPhase(now, Surveying, "the primary has lost commits")
+			return
+		}
 	}
 	m.RecordAnswer(sent, server, status.Position)
 }
@@ -614,6 +637,15 @@
 // earlier or the same term. Numbers are consecutive over all terms.
 func contains(end, p statement.Position) bool { return !end.Less(p) && p.Number <= end.Number }
 
+// RecordMissingPosition records that a statement failed because the primary lacks a
+// position that it had. Its next report shows whether it has lost its log; one that has
+// just been promoted may still be applying it.
+func (m *Machine) RecordMissingPosition(server string) {
+	if server == m.primary && m.phase == Leading {
+		m.logDoubted = true
+	}
+}
+
 // RecordNotPrimary records that a statement failed because the server was not the
 // primary.
 func (m *Machine) RecordNotPrimary(now time.Duration, server string) {
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -246,3 +246,75 @@
 	c.run(tickInterval)
 	assert.Equal(t, c.primary(), "")
 }
+
+// restart starts a server again under its name, without its log.
+func (c *fakeCluster) restart(server string) {
+	c.status[server] = statement.Status{}
+}
+
+// Guards against keeping a primary that has started again without its log: by what the
+// registry says, by a read that finds a position missing, and by its own report.
+func TestPrimaryWithoutItsLogIsReplaced(t *testing.T) {
+	for name, notice := range map[string]func(c *fakeCluster){
+		"registered again": func(c *fakeCluster) {
+			for i := range c.members {
+				if c.members[i].Name == "a" {
+					c.members[i].Incarnation, c.members[i].ReportsPrimary = 2, false
+				}
+			}
+		},
+		"a read misses a position": func(c *fakeCluster) { c.m.RecordMissingPosition("a") },
+		"it calls itself primary": func(c *fakeCluster) {
+			c.status["a"] = statement.Status{Primary: true}
+			c.m.RecordMissingPosition("a")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newFakeCluster(t)
+			c.run(2 * time.Second)
+			c.advance("a", 20)
+			c.advance("b", 20)
+			c.m.RecordAnswer(c.now, "a", statement.Position{Term: 1, Number: 20})
+			c.run(100 * time.Millisecond)
+			primary, ok := c.m.Primary()
+			assert.Assert(t, ok && primary == "a")
+			assert.Equal(t, c.m.Position("a"), statement.Position{Term: 1, Number: 20})
+			assert.Assert(t, c.m.Position("b").IsZero())
+			c.restart("a")
+			notice(c)
+			// Answers to callers must not hide it.
+			for range 8 {
+				c.run(tickInterval)
+				c.m.RecordAnswer(c.now, "a", statement.Position{})
+			}
+			_, ok = c.m.Primary()
+			assert.Assert(t, !ok, "the server is still used")
+			c.run(4 * time.Second)
+			primary, ok = c.m.Primary()
+			assert.Assert(t, ok && primary == "b", "%q %v", primary, ok)
+		})
+	}
+}
+
+// Guards against replacing a sound primary: a report that was asked for before a commit may
+// lack it, and a read may come before a new primary has applied its log.
+func TestSoundPrimaryIsKeptWhenAPositionIsMissing(t *testing.T) {
+	c := newFakeCluster(t)
+	c.run(2 * time.Second)
+	orders := len(c.orders)
+	c.m.RecordMissingPosition("a")
+	c.run(time.Second)
+	c.answerDelay["a"] = 100 * time.Millisecond
+	for len(c.pendingPoll) == 0 {
+		c.run(tickInterval)
+	}
+	before := c.status["a"]
+	c.m.RecordAnswer(c.now, "a", statement.Position{Term: 1, Number: 30}) // answered while the poll is under way
+	c.run(200 * time.Millisecond)
+	assert.Equal(t, c.status["a"], before)
+	c.advance("a", 30)
+	c.run(time.Second)
+	primary, ok := c.m.Primary()
+	assert.Assert(t, ok && primary == "a")
+	assert.Equal(t, len(c.orders), orders)
+}
--- a/internal/failover/shell.go
+++ b/internal/failover/shell.go
@@ -453,6 +453,27 @@
 	}
 }
 
+// Position returns the newest log position that the server is known to have as the
+// group's primary, zero if none is known.
+func (s *Shell) Position(name, server string) statement.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g, ok := s.groups[name]; ok {
+		return g.machine.Position(server)
+	}
+	return statement.Position{}
+}
+
+// RecordMissingPosition records that the server lacks a position that Position returned
+// for it.
+func (s *Shell) RecordMissingPosition(name, server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g, ok := s.groups[name]; ok {
+		g.machine.RecordMissingPosition(server)
+	}
+}
+
 // State is the state of a group that its owner reports to other hosts.
 type State struct {
 	Group    string
--- a/internal/failover/successor.go
+++ b/internal/failover/successor.go
@@ -39,6 +39,9 @@
 	// to answer, refusedAt that of the newest one whose connection was refused.
 	busyAt, refusedAt time.Duration
 	polledAt          time.Duration
+	// positionAtPoll is the position that the server was known to have as the primary when
+	// it was last polled.
+	positionAtPoll statement.Position
 	// newReportAt is the time at which the newest poll was sent that was answered with a
 	// report that the connection had not received before.
 	newReportAt time.Duration
@@ -56,11 +59,15 @@
 
 // forgetServers drops what is known of servers that are not registered any more or have
 // been registered again. The latter have lost their logs.
-func (m *Machine) forgetServers() {
+func (m *Machine) forgetServers(now time.Duration) {
 	for _, x := range m.group.Members {
+		_, known := m.contacts[x.Name]
 		if c := m.contact(x.Name); c.incarnation != x.Incarnation {
 			*c = serverContact{incarnation: x.Incarnation}
 			delete(m.reports, x.Name)
+			if known && x.Name == m.primary && m.phase == Leading {
+				m.enterPhase(now, Surveying, "the primary has started again")
+			}
 		}
 	}
 	if len(m.contacts) == len(m.group.Members) {
