--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -40,6 +40,7 @@
 	DrainDatabase        Kind = "drain_database"
 	RepeatAnswers        Kind = "repeat_answers" // a database, or all of a group, sends a share of its answers twice
 	RestoreStore         Kind = "restore_store"  // the store comes back from an older copy
+	RestartEmpty         Kind = "restart_empty"  // a database starts again under its id, without its log
 	LosePromotionAnswers Kind = "late_orders"    // promotions are carried out late, without an answer
 	ZoneOut              Kind = "zone_out"
 	WithdrawKey          Kind = "withdraw_key"
@@ -110,6 +111,19 @@
 	{WithdrawKeyWhileStoreSilent, maxCompoundDuration},
 }
 
+// additionalStream is added to the index of an additional kind for the random source of its
+// events.
+const additionalStream = 3 << 32
+
+// additionalKinds are drawn for the profiles in databaseProfiles beside the events that the
+// seed draws from the profile, which they do not change.
+var additionalKinds = []kindSpec{
+	{RestartEmpty, 800 * time.Millisecond}, // shorter than the time after which a silent primary is replaced
+}
+
+// databaseProfiles are the indexes of the profiles with faults of databases.
+var databaseProfiles = []uint64{0, 3}
+
 // optionalStream is added to the index of an optional kind for the random source of its
 // events.
 const optionalStream = 2 << 32
@@ -228,6 +242,11 @@
 		p.Rate = limitingRate
 	}
 	p.Events = drawEvents(rand.New(rand.NewPCG(seed, 0)), profileKinds(profiles[profile]), duration)
+	for i, k := range additionalKinds {
+		if slices.Contains(databaseProfiles, profile) {
+			p.Events = append(p.Events, drawEvents(rand.New(rand.NewPCG(seed, additionalStream+uint64(i))), []kindSpec{k}, duration)...)
+		}
+	}
 	for i, k := range optionalKinds {
 		if slices.Contains(optional, k.kind) {
 			p.Events = append(p.Events, drawEvents(rand.New(rand.NewPCG(seed, optionalStream+uint64(i))), []kindSpec{k}, duration)...)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -295,6 +295,15 @@
 		d.SetDown(true)
 		time.Sleep(e.Duration)
 		d.SetDown(false)
+	case RestartEmpty:
+		if p := g.Primary(); e.Target%2 == 0 && p.ID != standin.NoPrimary {
+			d = p
+		}
+		d.SetDown(true)
+		d.LoseLog()
+		time.Sleep(e.Duration)
+		d.SetDown(false)
+		r.env.Register(g, d, "ready")
 	case PauseReplicaApply:
 		d.SetApplyPaused(true)
 		time.Sleep(e.Duration)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,7 +32,7 @@
 			assert.Assert(t, e.At+e.Duration < time.Minute-finalWindow, "event %s of seed %d lasts into the final window", e, seed)
 		}
 	}
-	assert.Equal(t, len(seen), len(singleKinds)+len(compoundKinds))
+	assert.Equal(t, len(seen), len(singleKinds)+len(compoundKinds)+len(additionalKinds))
 }
 
 // Guards against optional kinds that change the events of recorded seeds, that are not
